--- a/internal/process/record/record.go
+++ b/internal/process/record/writer.go
@@ -3,10 +3,7 @@
 package record
 
 import (
-	"bytes"
 	"context"
-	"errors"
-	"fmt"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -20,52 +17,6 @@
 	cairnbayv1 "cairnbay/gen/cairnbay/v1"
 )
 
-// Prefix returns the prefix of the store keys of a class's journal.
-func Prefix(class string) string {
-	return "cairnbay/journal/" + class + "/"
-}
-
-// Journal is the stored journal of a class.
-type Journal struct {
-	// Records are, oldest first, those of the last complete rewrite and all later
-	// ones; all records if there was no rewrite.
-	Records []*cairnbayv1.WorkRecord
-	// SegmentKeys are the store keys of all segments, including those that a
-	// rewrite has superseded and not removed yet.
-	SegmentKeys []string
-}
-
-// Load reads the whole journal of a class. It returns the store's error, or that
-// of a segment that cannot be decoded.
-func Load(ctx context.Context, store cairnbay.Store, class string) (Journal, error) {
-	listing, err := store.List(ctx, Prefix(class))
-	if err != nil {
-		return Journal{}, jujuerrors.Annotatef(err, "journal of %s", class)
-	}
-	var journal Journal
-	segments := make([]*cairnbayv1.WorkSegment, 0, len(listing.Entries))
-	// A rewrite ends with the record that names its first segment, so an incomplete
-	// one is ignored. The latest complete one has the greatest key.
-	restartAt := ""
-	for _, entry := range listing.Entries {
-		segment := &cairnbayv1.WorkSegment{}
-		if err := proto.Unmarshal(entry.Value, segment); err != nil {
-			return Journal{}, jujuerrors.Annotatef(err, "journal segment %s", entry.Key)
-		}
-		for _, record := range segment.GetRecords() {
-			restartAt = max(restartAt, record.GetRestartAt())
-		}
-		segments = append(segments, segment)
-		journal.SegmentKeys = append(journal.SegmentKeys, entry.Key)
-	}
-	for i, segment := range segments {
-		if journal.SegmentKeys[i] >= restartAt {
-			journal.Records = append(journal.Records, segment.GetRecords()...)
-		}
-	}
-	return journal, nil
-}
-
 // Config sets up a Writer.
 type Config struct {
 	Store cairnbay.Store
@@ -87,6 +38,8 @@
 	done     sync.WaitGroup
 	wake     chan struct{}
 	sequence uint64
+	// rewrite is the rewrite under way, nil without one.
+	rewrite *rewrite
 	// writeStartedAt is when the first try of the write under way began, in
 	// nanoseconds since the Unix epoch; 0 while there is no write.
 	writeStartedAt atomic.Int64
@@ -123,9 +76,14 @@
 	// maxRetryPause.
 	minRetryPause = 40 * time.Millisecond
 	maxRetryPause = 200 * time.Millisecond
-	// maxRemovedPerCall is how many segments one call removes. With the fence they
-	// stay below the store's limit of 32 entries a call.
-	maxRemovedPerCall = 24
+	// maxRewriteSegmentBytes is the size of a rewrite's segments. It is small, since
+	// each shares a call with the records that are queued meanwhile and takes time
+	// on a slow link.
+	maxRewriteSegmentBytes = 32 << 10
+	// maxRemovedPerWrite is how many obsolete segments one write removes. With the
+	// fence, its segments and their expectations they stay below the store's limit
+	// of 32 entries a call.
+	maxRemovedPerWrite = 24
 	// withdrawAfter is the number of refused tries after which withdrawable entries
 	// are dropped; a single refusal may be transient.
 	withdrawAfter = 3
@@ -159,8 +117,9 @@
 }
 
 // Compact replaces everything appended so far, by this owner and earlier ones,
-// with equivalent records, and then removes the older segments. done is called
-// as by Append.
+// with equivalent records, and then removes the older segments. It does so in
+// small steps beside the writes of other records. done is called as by Append,
+// once the older segments are removed.
 func (w *Writer) Compact(records []*cairnbayv1.WorkRecord, done func(error)) {
 	w.append(entry{records: records, done: done, rewrite: true})
 }
@@ -237,45 +196,43 @@
 	}
 }
 
+// run writes the queued records, and the rewrite under way, until the writer is
+// closed or fenced. Between the parts of a rewrite it pauses like an idle writer,
+// so that a rewrite never takes the store's time from records.
 func (w *Writer) run(ctx context.Context) {
 	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-w.wake:
+		if w.rewrite == nil {
+			select {
+			case <-ctx.Done():
+				return
+			case <-w.wake:
+			}
 		}
 		if !sleep(ctx, batchDelay) {
 			return
 		}
-		for {
-			batch := w.nextBatch()
-			if len(batch) == 0 {
-				break
-			}
-			write := w.write
-			if batch[0].rewrite {
-				write = w.rewrite
-			}
-			remaining, err := write(ctx, batch)
-			if err != nil {
-				w.fail(remaining, err)
+		for first := true; w.hasQueued() || first && w.rewrite != nil; first = false {
+			if !w.writeNext(ctx) {
 				return
 			}
-			for _, entry := range remaining {
-				entry.done(nil)
-			}
 		}
 	}
 }
 
-// nextBatch removes the entries of the next segment from the queue; a rewrite is
-// a batch of its own.
+func (w *Writer) hasQueued() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.pending) > 0
+}
+
+// nextBatch removes the entries of the next segment from the queue. A rewrite is a
+// batch of its own, and stays queued while another is under way.
 func (w *Writer) nextBatch() []entry {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	size, count := 0, 0
 	for count < len(w.pending) && (count == 0 || size+w.pending[count].bytes <= maxSegmentBytes) {
-		if w.pending[count].rewrite && count > 0 {
+		if w.pending[count].rewrite && (count > 0 || w.rewrite != nil) {
 			break
 		}
 		size += w.pending[count].bytes
@@ -299,101 +256,19 @@
 	for _, entry := range append(batch, pending...) {
 		entry.done(err)
 	}
-}
-
-// write stores one segment, with retries, and returns the entries of the batch
-// that were not withdrawn. Errors: ErrFenced when a newer owner exists and the
-// segment is certainly not stored, ErrUnknown when the writer closes.
-func (w *Writer) write(ctx context.Context, batch []entry) ([]entry, error) {
-	key := w.nextKey()
-	w.writeStartedAt.Store(time.Now().UnixNano())
-	defer w.writeStartedAt.Store(0)
-	value, err := encode(batch)
-	if err != nil || len(value) == 0 {
-		return batch, err
-	}
-	pause := minRetryPause
-	// refusedOnly says that every try had certainly no effect, so that entries can
-	// still be withdrawn from the segment.
-	refusedOnly := true
-	for try := 1; ; try++ {
-		err := w.tryWrite(ctx, key, value)
-		if err == nil {
-			w.writes.Add(1)
-			w.mu.Lock()
-			w.keys = append(w.keys, key)
-			w.mu.Unlock()
-			if try > 1 {
-				// An earlier try was logged as failed.
-				w.config.Log.WithFields(logrus.Fields{"class": w.config.Class, "tries": try}).Info("journal regained")
-			}
-			return batch, nil
-		}
-		if errors.Is(err, cairnbay.ErrFenced) {
-			return batch, err
-		}
-		if try == 1 {
-			w.config.Log.WithError(err).WithField("class", w.config.Class).Warn("journal write failed")
-		}
-		refusedOnly = refusedOnly && (errors.Is(err, cairnbay.ErrUnavailable) || errors.Is(err, cairnbay.ErrRateLimited))
-		if refusedOnly && try >= withdrawAfter {
-			batch = w.withdraw(batch, err)
-			if value, err = encode(batch); err != nil || len(value) == 0 {
-				return batch, err
-			}
-		}
-		if !sleep(ctx, pause) {
-			return batch, cairnbay.ErrUnknown
-		}
-		pause = min(2*pause, maxRetryPause)
+	if w.rewrite != nil {
+		w.rewrite.done(err)
+		w.rewrite = nil
 	}
 }
 
-func (w *Writer) nextKey() string {
-	w.sequence++
-	return fmt.Sprintf("%s%08x-%08x", Prefix(w.config.Class), w.config.Generation, w.sequence)
-}
-
-// rewrite stores the records of a rewrite in as many segments as they need. The
-// last record supersedes all older segments, so that an interrupted rewrite
-// changes nothing.
-func (w *Writer) rewrite(ctx context.Context, batch []entry) ([]entry, error) {
-	firstKey := fmt.Sprintf("%s%08x-%08x", Prefix(w.config.Class), w.config.Generation, w.sequence+1)
-	records := append(slices.Clone(batch[0].records), &cairnbayv1.WorkRecord{RestartAt: firstKey})
-	for len(records) > 0 {
-		size, count := 0, 0
-		for count < len(records) && (count == 0 || size+proto.Size(records[count]) <= maxSegmentBytes) {
-			size += proto.Size(records[count])
-			count++
-		}
-		if _, err := w.write(ctx, []entry{{records: records[:count]}}); err != nil {
-			return batch, err
-		}
-		records = records[count:]
-	}
-	w.removeBefore(ctx, firstKey)
-	return batch, nil
-}
-
-// removeBefore deletes the segments before a key. Segments that a failure leaves
-// behind are deleted by the next rewrite.
-func (w *Writer) removeBefore(ctx context.Context, firstKey string) {
-	w.mu.Lock()
-	obsolete := slices.DeleteFunc(slices.Clone(w.keys), func(key string) bool { return key >= firstKey })
-	w.mu.Unlock()
-	for len(obsolete) > 0 {
-		chunk := obsolete[:min(len(obsolete), maxRemovedPerCall)]
-		ctx, cancel := context.WithTimeout(ctx, writeTimeout)
-		_, err := w.config.Commit(ctx, cairnbay.Batch{Expect: []cairnbay.Expectation{w.config.Fence}, Delete: chunk})
-		cancel()
-		if err != nil {
-			w.config.Log.WithError(err).WithField("class", w.config.Class).Warn("old journal segments not removed")
-			return
-		}
-		w.mu.Lock()
-		w.keys = slices.DeleteFunc(w.keys, func(key string) bool { return slices.Contains(chunk, key) })
-		w.mu.Unlock()
-		obsolete = obsolete[len(chunk):]
+// sleep waits for the pause; it returns false if the context ends first.
+func sleep(ctx context.Context, pause time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(pause):
+		return true
 	}
 }
 
@@ -420,49 +295,3 @@
 	}
 	return remaining
 }
-
-// encode returns the encoded segment of a batch; nil if the batch has no records.
-func encode(batch []entry) ([]byte, error) {
-	segment := &cairnbayv1.WorkSegment{}
-	for _, entry := range batch {
-		segment.Records = append(segment.Records, entry.records...)
-	}
-	if len(segment.GetRecords()) == 0 {
-		return nil, nil
-	}
-	value, err := proto.MarshalOptions{Deterministic: true}.Marshal(segment)
-	return value, jujuerrors.Annotate(err, "journal segment")
-}
-
-// tryWrite writes the segment once. On a conflict it checks whether an earlier
-// try, whose answer was lost, has stored the segment.
-func (w *Writer) tryWrite(ctx context.Context, key string, value []byte) error {
-	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
-	defer cancel()
-	_, err := w.config.Commit(ctx, cairnbay.Batch{
-		Expect: []cairnbay.Expectation{w.config.Fence, {Key: key}},
-		Puts:   []cairnbay.Put{{Key: key, Value: value}},
-	})
-	if !errors.Is(err, cairnbay.ErrConflict) {
-		return err
-	}
-	stored, err := w.config.Store.Get(ctx, key)
-	switch {
-	case err == nil && bytes.Equal(stored.Value, value):
-		return nil
-	case err == nil, errors.Is(err, cairnbay.ErrNotFound):
-		return jujuerrors.Annotatef(cairnbay.ErrFenced, "journal of %s", w.config.Class)
-	default:
-		return err
-	}
-}
-
-// sleep waits for the pause; it returns false if the context ends first.
-func sleep(ctx context.Context, pause time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(pause):
-		return true
-	}
-}
