record: keep several writes in flight while the store is slow, and repeat silent ones

Hypothesis: a slow store costs one latency, not two, and an outage ends within 250 ms of its end. Change: while recent writes took longer than the batch delay, the next one starts after that delay, up to eight at once. A write without an answer is repeated every 250 ms beside the earlier tries. A stall is relative to the recent latency. Ends are acknowledged to a worker only in order.

--- a/internal/process/drive/link.go
+++ b/internal/process/drive/link.go
@@ -28,6 +28,9 @@
 	confirmedAt time.Duration
 	// acked is the sequence of the last attempt end that is in the store.
 	acked uint64
+	// storing holds the sequences of the last ends of the records that are being
+	// stored, oldest first. Later records may be stored before earlier ones.
+	storing []*storingEnds
 	// failures counts the renewals that failed since the last answer.
 	failures int
 	// draining says that the worker's latest list entry was draining.
@@ -39,6 +42,20 @@
 	lapsed bool
 }
 
+// storingEnds is the state of records about attempt ends of a worker.
+type storingEnds struct {
+	lastSequence uint64
+	stored       bool
+}
+
+// endsStored updates acked to the last end before which all are stored.
+func (l *link) endsStored() {
+	for len(l.storing) > 0 && l.storing[0].stored {
+		l.acked = max(l.acked, l.storing[0].lastSequence)
+		l.storing = l.storing[1:]
+	}
+}
+
 const (
 	// renewWait is how long a worker may delay its answer to a renewal until an
 	// attempt ends.
@@ -274,6 +291,10 @@
 // ends to the worker. It returns the pause before that renewal.
 func (d *Drive) acknowledge(l *link, records []*cairnbayv1.WorkRecord, result sched.HoldResult) time.Duration {
 	stored := make(chan struct{})
+	ends := &storingEnds{lastSequence: result.LastSequence}
+	d.mu.Lock()
+	l.storing = append(l.storing, ends)
+	d.mu.Unlock()
 	d.writer.Append(records, func(err error) {
 		defer close(stored)
 		if err != nil {
@@ -285,7 +306,8 @@
 			d.core.SetReachable(l.entry.ID, true)
 			d.requestPlan()
 		}
-		l.acked = max(l.acked, result.LastSequence)
+		ends.stored = true
+		l.endsStored()
 		d.core.RecordsStored(result.Records)
 		close(d.recordsStored)
 		d.recordsStored = make(chan struct{})
--- a/internal/process/drive/submit.go
+++ b/internal/process/drive/submit.go
@@ -29,9 +29,6 @@
 }
 
 const (
-	// maxStoreStall is how long a journal write may be under way before new
-	// submissions are refused. It is many times the usual latency of the store.
-	maxStoreStall = 300 * time.Millisecond
 	// stallRetryAfter is the Retry-After while the store does not answer.
 	stallRetryAfter = 2 * time.Second
 	// loadRetryAfter is the Retry-After while the journal is being read.
@@ -99,7 +96,7 @@
 	case !d.loaded:
 		refused.Reason, refused.RetryAfter = reasonNotLoaded, loadRetryAfter
 		return refused, nil
-	case d.writer.StalledFor() > maxStoreStall:
+	case d.writer.Stalled():
 		refused.Reason, refused.RetryAfter = reasonStoreStalled, stallRetryAfter
 		return refused, nil
 	}
--- /dev/null
+++ b/internal/process/record/try.go
@@ -0,0 +1,127 @@
+package record
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"time"
+
+	jujuerrors "github.com/juju/errors"
+	"github.com/sirupsen/logrus"
+
+	"cairnbay"
+)
+
+// outcome is the result of one try of a write.
+type outcome struct {
+	err  error
+	took time.Duration
+}
+
+// store makes a write. While no try is answered it repeats the write every
+// repeatInterval beside the earlier tries, after a failed try it pauses. Entries
+// that are withdrawn meanwhile are removed from the write. Errors: ErrFenced when a
+// newer owner exists and the write certainly had no effect, ErrUnknown when the
+// writer closes.
+func (w *Writer) store(ctx context.Context, next *write) error {
+	if err := next.encode(); err != nil || next.empty() {
+		return err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	outcomes := make(chan outcome)
+	tries, unanswered := 0, 0
+	pause := minRetryPause
+	// refusedOnly says that every try had certainly no effect, so that entries can
+	// still be withdrawn.
+	refusedOnly := true
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return cairnbay.ErrUnknown
+		case <-timer.C:
+			tries++
+			unanswered++
+			w.startTry(ctx, next, outcomes)
+			timer.Reset(repeatInterval)
+			continue
+		case ended := <-outcomes:
+			unanswered--
+			if ended.err == nil {
+				w.observeLatency(ended.took)
+				if tries > 1 {
+					w.config.Log.WithFields(logrus.Fields{"class": w.config.Class, "tries": tries}).Info("journal regained")
+				}
+				return nil
+			}
+			if errors.Is(ended.err, cairnbay.ErrFenced) {
+				return ended.err
+			}
+			if pause == minRetryPause {
+				w.config.Log.WithError(ended.err).WithField("class", w.config.Class).Warn("journal write failed")
+			}
+			refusedOnly = refusedOnly && (errors.Is(ended.err, cairnbay.ErrUnavailable) || errors.Is(ended.err, cairnbay.ErrRateLimited))
+			if refusedOnly && unanswered == 0 && tries >= withdrawAfter {
+				next.entries = w.withdraw(next.entries, ended.err)
+				if err := next.encode(); err != nil || next.empty() {
+					return err
+				}
+			}
+		}
+		if unanswered == 0 {
+			timer.Reset(pause)
+		}
+		pause = min(2*pause, maxRetryPause)
+	}
+}
+
+// startTry makes a write once in the background.
+func (w *Writer) startTry(ctx context.Context, next *write, outcomes chan<- outcome) {
+	batch := cairnbay.Batch{Expect: []cairnbay.Expectation{w.config.Fence}, Puts: next.puts, Delete: next.remove}
+	for _, put := range next.puts {
+		batch.Expect = append(batch.Expect, cairnbay.Expectation{Key: put.Key})
+	}
+	w.done.Go(func() {
+		startedAt := time.Now()
+		err := w.tryWrite(ctx, batch)
+		select {
+		case outcomes <- outcome{err, time.Since(startedAt)}:
+		case <-ctx.Done():
+		}
+	})
+}
+
+// tryWrite makes a write once. On a conflict it checks whether another try, whose
+// answer was lost, took effect.
+func (w *Writer) tryWrite(ctx context.Context, batch cairnbay.Batch) error {
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	_, err := w.config.Commit(ctx, batch)
+	if !errors.Is(err, cairnbay.ErrConflict) {
+		return err
+	}
+	fenced := jujuerrors.Annotatef(cairnbay.ErrFenced, "journal of %s", w.config.Class)
+	if len(batch.Puts) == 0 {
+		return fenced
+	}
+	// The changes are atomic, so that one key tells about all of them.
+	stored, err := w.config.Store.Get(ctx, batch.Puts[0].Key)
+	switch {
+	case err == nil && bytes.Equal(stored.Value, batch.Puts[0].Value):
+		return nil
+	case err == nil, errors.Is(err, cairnbay.ErrNotFound):
+		return fenced
+	default:
+		return err
+	}
+}
+
+// observeLatency updates the latency of recent writes. A rise counts at once, so
+// that the first slow write is not taken for a stall twice.
+func (w *Writer) observeLatency(took time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.latency = max(took, w.latency-w.latency/latencySmoothing)
+}
--- a/internal/process/record/writer.go
+++ b/internal/process/record/writer.go
@@ -31,26 +31,31 @@
 }
 
 // Writer appends records to the journal. Records that are queued during a write
-// share the next one.
+// share the next one. While the store is slow, several writes are in flight.
 type Writer struct {
 	config   Config
 	cancel   context.CancelFunc
 	done     sync.WaitGroup
 	wake     chan struct{}
 	sequence uint64
-	// rewrite is the rewrite under way, nil without one.
-	rewrite *rewrite
-	// writeStartedAt is when the first try of the write under way began, in
-	// nanoseconds since the Unix epoch; 0 while there is no write.
-	writeStartedAt atomic.Int64
-	writes         atomic.Uint64
+	writes   atomic.Uint64
+	// slots bounds the writes in flight.
+	slots chan struct{}
 
 	mu      sync.Mutex
 	pending []entry
 	// stopped says that the writer was fenced or closed.
 	stopped bool
-	// keys are the keys of the segments in the store, oldest first.
+	// keys are the keys of the segments in the store.
 	keys []string
+	// rewrite is the rewrite under way, nil without one. rewriteInFlight says that
+	// a write in flight has a part of it.
+	rewrite         *rewrite
+	rewriteInFlight bool
+	// inFlight holds the start times of the writes in flight, by sequence.
+	inFlight map[uint64]time.Time
+	// latency is the duration of recent writes: it rises at once and falls slowly.
+	latency time.Duration
 }
 
 // entry is the records of one Append, TryAppend or Compact.
@@ -69,9 +74,13 @@
 	// maxSegmentBytes is well below cairnbay.MaxValueBytes. A single entry that is
 	// larger still becomes one segment.
 	maxSegmentBytes = 256 << 10
-	// writeTimeout bounds one try of a write. The store answers in milliseconds,
-	// and a retry is safe since the write expects that the segment does not exist.
+	// writeTimeout bounds one try of a write. A retry is safe since the write
+	// expects that the segment does not exist.
 	writeTimeout = 800 * time.Millisecond
+	// repeatInterval is the time without an answer after which a write is tried
+	// again beside the earlier tries: their connection may be dead, and a store
+	// that was silent answers only new calls.
+	repeatInterval = 250 * time.Millisecond
 	// minRetryPause is the pause after the first failed try; it doubles up to
 	// maxRetryPause.
 	minRetryPause = 40 * time.Millisecond
@@ -91,12 +100,26 @@
 	// empty, which limits the rate of calls at low load to about twenty a second.
 	// Records queued during a write are written next without a delay.
 	batchDelay = 40 * time.Millisecond
+	// maxInFlight bounds the writes in flight. More than one is in flight only if
+	// recent writes took longer than batchDelay, which is then their interval.
+	maxInFlight = 8
+	// minStall is how long a write must be in flight for the store to count as
+	// stalled, many times its usual latency; with a slow store it is stallFactor
+	// times the recent latency.
+	minStall    = 300 * time.Millisecond
+	stallFactor = 2
+	// latencySmoothing is the number of writes over which a higher latency is
+	// forgotten.
+	latencySmoothing = 4
 )
 
 // New starts a writer. Close stops it.
 func New(config Config) *Writer {
 	ctx, cancel := context.WithCancel(context.Background())
-	w := &Writer{config: config, cancel: cancel, wake: make(chan struct{}, 1)}
+	w := &Writer{
+		config: config, cancel: cancel, wake: make(chan struct{}, 1),
+		slots: make(chan struct{}, maxInFlight), inFlight: make(map[uint64]time.Time),
+	}
 	w.done.Go(func() { w.run(ctx) })
 	return w
 }
@@ -161,14 +184,18 @@
 	}
 }
 
-// StalledFor returns the time since the first try of the write under way began; 0
-// while there is no write.
-func (w *Writer) StalledFor() time.Duration {
-	since := w.writeStartedAt.Load()
-	if since == 0 {
-		return 0
+// Stalled reports whether the store has not answered a write for much longer than
+// recent writes took. A store that is only slow does not count.
+func (w *Writer) Stalled() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	limit := max(minStall, stallFactor*w.latency)
+	for _, startedAt := range w.inFlight {
+		if time.Since(startedAt) > limit {
+			return true
+		}
 	}
-	return time.Duration(time.Now().UnixNano() - since)
+	return false
 }
 
 // Writes returns the number of segments that this writer stored.
@@ -201,7 +228,7 @@
 // so that a rewrite never takes the store's time from records.
 func (w *Writer) run(ctx context.Context) {
 	for {
-		if w.rewrite == nil {
+		if _, rewriting := w.state(); !rewriting {
 			select {
 			case <-ctx.Done():
 				return
@@ -211,25 +238,50 @@
 		if !sleep(ctx, batchDelay) {
 			return
 		}
-		for first := true; w.hasQueued() || first && w.rewrite != nil; first = false {
-			if !w.writeNext(ctx) {
+		for first := true; ; first = false {
+			if queued, rewriting := w.state(); !queued && (!first || !rewriting) {
+				break
+			}
+			if !w.awaitTurn(ctx, w.startWrite(ctx)) {
 				return
 			}
 		}
 	}
 }
 
-func (w *Writer) hasQueued() bool {
+// state reports whether records are queued and whether a rewrite is under way.
+func (w *Writer) state() (queued, rewriting bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return len(w.pending) > 0
+	return len(w.pending) > 0, w.rewrite != nil
 }
 
-// nextBatch removes the entries of the next segment from the queue. A rewrite is a
-// batch of its own, and stays queued while another is under way.
-func (w *Writer) nextBatch() []entry {
+// awaitTurn waits until the next write may start: when the last one is finished or,
+// with a store that is slower than batchDelay, after batchDelay. It returns false
+// when the writer has stopped.
+func (w *Writer) awaitTurn(ctx context.Context, finished <-chan struct{}) bool {
+	w.mu.Lock()
+	slow := w.latency > batchDelay
+	w.mu.Unlock()
+	var interval <-chan time.Time
+	if slow {
+		interval = time.After(batchDelay)
+	}
+	select {
+	case <-finished:
+	case <-interval:
+	case <-ctx.Done():
+		return false
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	return !w.stopped
+}
+
+// nextBatch removes the entries of the next segment from the queue. A rewrite is a
+// batch of its own, and stays queued while another is under way. The caller holds
+// the lock.
+func (w *Writer) nextBatch() []entry {
 	size, count := 0, 0
 	for count < len(w.pending) && (count == 0 || size+w.pending[count].bytes <= maxSegmentBytes) {
 		if w.pending[count].rewrite && (count > 0 || w.rewrite != nil) {
@@ -250,16 +302,16 @@
 func (w *Writer) fail(batch []entry, err error) {
 	w.mu.Lock()
 	w.stopped = true
-	pending := w.pending
+	failed := append(batch, w.pending...)
 	w.pending = nil
-	w.mu.Unlock()
-	for _, entry := range append(batch, pending...) {
-		entry.done(err)
-	}
 	if w.rewrite != nil {
-		w.rewrite.done(err)
+		failed = append(failed, entry{done: w.rewrite.done})
 		w.rewrite = nil
 	}
+	w.mu.Unlock()
+	for _, entry := range failed {
+		entry.done(err)
+	}
 }
 
 // sleep waits for the pause; it returns false if the context ends first.
