tenure: give the write of a claim a time of its own

Cause: a claim reads the generation and then writes it, both within 700 ms. A lost answer was not read back for the same reason. Change: read, write and the read that settles a lost answer are bounded one by one.

--- a/internal/process/record/try.go
+++ b/internal/process/record/try.go
@@ -12,14 +12,15 @@
 	"cairnbay"
 )
 
-// outcome is the result of one try of a write.
+// outcome is the result of one try of a write. latency is that of the store, 0 if
+// the try does not tell.
 type outcome struct {
-	err  error
-	took time.Duration
+	err     error
+	latency time.Duration
 }
 
-// store makes a write. While no try is answered it repeats the write every
-// repeatInterval beside the earlier tries, after a failed try it pauses. Entries
+// store makes a write. While no try is answered it repeats the write after
+// repeatAfter beside the earlier tries, after a failed try it pauses. Entries
 // that are withdrawn meanwhile are removed from the write. Errors: ErrFenced when a
 // newer owner exists and the write certainly had no effect, ErrUnknown when the
 // writer closes.
@@ -45,12 +46,12 @@
 			tries++
 			unanswered++
 			w.startTry(ctx, next, outcomes)
-			timer.Reset(repeatInterval)
+			timer.Reset(w.repeatAfter())
 			continue
 		case ended := <-outcomes:
 			unanswered--
 			if ended.err == nil {
-				w.observeLatency(ended.took)
+				w.observeLatency(ended.latency)
 				if tries > 1 {
 					w.config.Log.WithFields(logrus.Fields{"class": w.config.Class, "tries": tries}).Info("journal regained")
 				}
@@ -84,40 +85,47 @@
 		batch.Expect = append(batch.Expect, cairnbay.Expectation{Key: put.Key})
 	}
 	w.done.Go(func() {
-		startedAt := time.Now()
-		err := w.tryWrite(ctx, batch)
+		latency, err := w.tryWrite(ctx, batch)
 		select {
-		case outcomes <- outcome{err, time.Since(startedAt)}:
+		case outcomes <- outcome{err, latency}:
 		case <-ctx.Done():
 		}
 	})
 }
 
 // tryWrite makes a write once. On a conflict it checks whether another try, whose
-// answer was lost, took effect.
-func (w *Writer) tryWrite(ctx context.Context, batch cairnbay.Batch) error {
+// answer was lost, took effect; it then returns no latency.
+func (w *Writer) tryWrite(ctx context.Context, batch cairnbay.Batch) (latency time.Duration, err error) {
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
-	_, err := w.config.Commit(ctx, batch)
+	startedAt := time.Now()
+	_, err = w.config.Commit(ctx, batch)
 	if !errors.Is(err, cairnbay.ErrConflict) {
-		return err
+		return time.Since(startedAt), err
 	}
 	fenced := jujuerrors.Annotatef(cairnbay.ErrFenced, "journal of %s", w.config.Class)
 	if len(batch.Puts) == 0 {
-		return fenced
+		return 0, fenced
 	}
 	// The changes are atomic, so that one key tells about all of them.
 	stored, err := w.config.Store.Get(ctx, batch.Puts[0].Key)
 	switch {
 	case err == nil && bytes.Equal(stored.Value, batch.Puts[0].Value):
-		return nil
+		return 0, nil
 	case err == nil, errors.Is(err, cairnbay.ErrNotFound):
-		return fenced
+		return 0, fenced
 	default:
-		return err
+		return 0, err
 	}
 }
 
+// repeatAfter is how long a try may go without an answer before the next one.
+func (w *Writer) repeatAfter() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return max(minRepeatInterval, stallFactor*w.latency)
+}
+
 // observeLatency updates the latency of recent writes. A rise counts at once, so
 // that the first slow write is not taken for a stall twice.
 func (w *Writer) observeLatency(took time.Duration) {
--- a/internal/process/record/writer.go
+++ b/internal/process/record/writer.go
@@ -77,10 +77,11 @@
 	// writeTimeout bounds one try of a write. A retry is safe since the write
 	// expects that the segment does not exist.
 	writeTimeout = 800 * time.Millisecond
-	// repeatInterval is the time without an answer after which a write is tried
+	// minRepeatInterval is the time without an answer after which a write is tried
 	// again beside the earlier tries: their connection may be dead, and a store
-	// that was silent answers only new calls.
-	repeatInterval = 250 * time.Millisecond
+	// that was silent answers only new calls. With a slow store it is stallFactor
+	// times the recent latency.
+	minRepeatInterval = 250 * time.Millisecond
 	// minRetryPause is the pause after the first failed try; it doubles up to
 	// maxRetryPause.
 	minRetryPause = 40 * time.Millisecond
--- a/internal/process/tenure/claim.go
+++ b/internal/process/tenure/claim.go
@@ -78,7 +78,9 @@
 		return revision, err
 	}
 	// The write may have taken effect: the nonce identifies it on a read.
-	stored, getErr := t.config.Store.Get(ctx, key)
+	readCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), verifyTimeout)
+	defer cancel()
+	stored, getErr := t.config.Store.Get(readCtx, key)
 	if getErr != nil {
 		return 0, err
 	}
@@ -171,12 +173,12 @@
 // claim makes this instance the owner of a class under the next generation and
 // calls OnAcquired; failures are logged.
 func (t *Tenure) claim(ctx context.Context, class string) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	readCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	log := t.config.Log.WithField("class", class)
 	fence := cairnbay.Expectation{Key: generationPrefix + class}
 	generation, afterRestart := uint64(0), false
-	stored, err := t.config.Store.Get(ctx, fence.Key)
+	stored, err := t.config.Store.Get(readCtx, fence.Key)
 	switch {
 	case err == nil:
 		var holding cairnbayv1.Holding
@@ -197,7 +199,11 @@
 	}
 	t.mu.Unlock()
 	claimedAt := t.config.BootTime()
-	revision, err := t.putOwner(ctx, lease, class, expected, generation+1, fence, true)
+	// The write has a time of its own: if a slow store carries it out after it was
+	// given up, the class has an owner that does not know of it.
+	writeCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	revision, err := t.putOwner(writeCtx, lease, class, expected, generation+1, fence, true)
 	if err != nil {
 		// A conflict means that another claim of the class came first.
 		log.WithError(err).Warn("class not claimed")
--- a/internal/process/tenure/tenure.go
+++ b/internal/process/tenure/tenure.go
@@ -137,9 +137,13 @@
 const (
 	// renewalsPerLease is the number of renewals per LeaseTTL.
 	renewalsPerLease = 3
-	// callTimeout bounds the store calls of one renewal, one restoreKeys or one
-	// claim together; the store normally answers in milliseconds.
+	// callTimeout bounds the store calls of one renewal or one restoreKeys together,
+	// and those of the read and of the write of a claim; the store normally answers
+	// in milliseconds.
 	callTimeout = 700 * time.Millisecond
+	// verifyTimeout bounds the read after a write without an answer. With
+	// callTimeout it stays within the time between two renewals of the lease.
+	verifyTimeout = 200 * time.Millisecond
 	// pollPeriod is the interval between checks of the lease and of the classes
 	// without an owner.
 	pollPeriod = 100 * time.Millisecond
--- a/internal/process/tenure/tenure_test.go
+++ b/internal/process/tenure/tenure_test.go
@@ -125,6 +125,24 @@
 		Consistently(first.owns("a"), "300ms").Should(BeFalse())
 	})
 
+	It("claim a class in a store that takes most of the time of a call", func() {
+		const slowAnswer = 400 * time.Millisecond
+		claimed := make(chan tenure.Claim, 10)
+		claimant := tenure.New(tenure.Config{
+			Store: fakeStore.For("slow"), Log: log, Clock: clock, BootTime: timer.Boot,
+			Instance: "slow", Address: "slow:1", Cores: 1, LeaseTTL: 1400 * time.Millisecond, WatchStallTimeout: 2 * time.Second,
+			Classes:    func() []string { return []string{"a"} },
+			OnAcquired: func(claim tenure.Claim) { claimed <- claim },
+			OnLost:     func(string) {},
+		})
+		DeferCleanup(claimant.Close)
+		fakeStore.SetSlow(slowAnswer)
+		var claim tenure.Claim
+		Eventually(claimed, "6s").Should(Receive(&claim))
+		// A claim that was given up and carried out later takes a generation.
+		Expect(claim.Generation).To(Equal(uint64(1)))
+	})
+
 	It("claim again after a restart without waiting for their former lease", func() {
 		first := start("first", 1, "a")
 		Eventually(first.owns("a"), "4s").Should(BeTrue())
