node: leave the rotation when cut off from every other data centre

In the other data centres it took the time-out of a watch, over a second, before an instance counted as isolated. Hypothesis: asking one instance of each other data centre and the store as soon as calls fail finds a cut in 300 ms; callers then reach another data centre. Change: while calls to owners fail or owners refuse for a store that does not answer, the instance calls up to four instances of other data centres and the store, each 300 ms. If none answers it is not ready until one does. An outage of the store alone does not count.

--- a/internal/process/drive/submit.go
+++ b/internal/process/drive/submit.go
@@ -13,8 +13,9 @@
 
 // Reasons for a refusal that come from the state of the owner, not of the queue.
 const (
-	reasonNotLoaded    = "journal_not_loaded"
-	reasonStoreStalled = "store_not_answering"
+	reasonNotLoaded = "journal_not_loaded"
+	// ReasonStoreStalled is for a store that does not answer the owner.
+	ReasonStoreStalled = "store_not_answering"
 	reasonOwnerStopped = "owner_stopped"
 )
 
@@ -61,7 +62,7 @@
 func (s *submission) wait(ctx context.Context) Verdict {
 	select {
 	case <-ctx.Done():
-		return Verdict{Kind: cairnbayv1.SubmitVerdict_SUBMIT_VERDICT_UNCERTAIN, Reason: reasonStoreStalled}
+		return Verdict{Kind: cairnbayv1.SubmitVerdict_SUBMIT_VERDICT_UNCERTAIN, Reason: ReasonStoreStalled}
 	case <-s.done:
 	}
 	switch {
@@ -70,7 +71,7 @@
 	case errors.Is(s.err, cairnbay.ErrUnavailable):
 		return Verdict{
 			Kind:   cairnbayv1.SubmitVerdict_SUBMIT_VERDICT_REFUSED,
-			Reason: reasonStoreStalled, RetryAfter: stallRetryAfter,
+			Reason: ReasonStoreStalled, RetryAfter: stallRetryAfter,
 		}
 	case errors.Is(s.err, cairnbay.ErrFenced):
 		return Verdict{Kind: cairnbayv1.SubmitVerdict_SUBMIT_VERDICT_NOT_OWNER}
@@ -97,7 +98,7 @@
 		refused.Reason, refused.RetryAfter = reasonNotLoaded, loadRetryAfter
 		return refused, nil
 	case d.writer.Stalled():
-		refused.Reason, refused.RetryAfter = reasonStoreStalled, stallRetryAfter
+		refused.Reason, refused.RetryAfter = ReasonStoreStalled, stallRetryAfter
 		return refused, nil
 	}
 	now := d.now()
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -94,6 +94,9 @@
 	// mirror is a copy of the operators' configuration, updated by a watch.
 	mirror *mirror.Mirror
 	gate   *gate.Gate
+	// directStore is the store without the detour over other instances.
+	directStore cairnbay.Store
+	isolation   isolation
 	// probing is set while a probe of the owners is running.
 	probing atomic.Bool
 	// stopping is set when Stop is called.
@@ -146,7 +149,7 @@
 
 // New starts an instance. It fails if an address cannot be listened on.
 func New(config Config) (*Node, error) {
-	n := &Node{config: config, ownedClasses: make(map[string]*ownedClass)}
+	n := &Node{config: config, directStore: config.Platform.Store, ownedClasses: make(map[string]*ownedClass)}
 	n.relay = relay.New(relay.Config{
 		Client: config.MemberClient, Drive: n.drive, Advisor: config.Platform.Advisor,
 		Store: func(ctx context.Context, call *cairnbayv1.StoreCall) *cairnbayv1.StoreAnswer {
@@ -178,7 +181,9 @@
 	readyMux.HandleFunc("GET "+config.Platform.ReadyPath, n.serveReady)
 	metricsMux := http.NewServeMux()
 	metricsMux.HandleFunc("GET /metrics", n.serveMetrics)
-	n.stopProbes = config.Clock.Every(probePeriod, func(time.Duration) { n.probe() })
+	stopProbes := config.Clock.Every(probePeriod, func(time.Duration) { n.probe() })
+	stopChecks := config.Clock.Every(reachPeriod, func(time.Duration) { n.checkIsolation() })
+	n.stopProbes = func() { stopProbes(); stopChecks() }
 	for _, listener := range []struct {
 		address string
 		handler http.Handler
@@ -227,12 +232,12 @@
 }
 
 // isolated reports whether the instance can serve no callers although other
-// instances may: it reaches neither the store nor the owners, or has reached no
-// owner for ownerFailureTimeout. If only the store is unreachable, the instance
-// can still show and cancel jobs.
+// instances may: it is cut off, reaches neither the store nor the owners, or has
+// reached no owner for ownerFailureTimeout.
 func (n *Node) isolated() bool {
 	failing := n.gate.FailingFor()
-	return failing > ownerFailureTimeout || failing > 0 && n.tenure.StoreFailing() && n.mirror.Failing()
+	return n.isolation.cutOff.Load() || failing > ownerFailureTimeout ||
+		failing > 0 && n.tenure.StoreFailing() && n.mirror.Failing()
 }
 
 // probe checks whether owners are reachable again.
--- a/internal/request/gate/gate.go
+++ b/internal/request/gate/gate.go
@@ -69,6 +69,18 @@
 	// failingSince is when the first of the consecutive failed calls to owners
 	// ended, in nanoseconds since the epoch; 0 if the last call succeeded.
 	failingSince atomic.Int64
+	// storeStalledAt is when a submission was last refused because the owner's
+	// store did not answer, in nanoseconds since the epoch; 0 for never.
+	storeStalledAt atomic.Int64
+}
+
+// storeStallMemory is how long after such a refusal StoreStalled reports it.
+const storeStallMemory = time.Second
+
+// StoreStalled reports whether an owner has lately refused a submission because the
+// store did not answer it.
+func (g *Gate) StoreStalled() bool {
+	return time.Since(time.Unix(0, g.storeStalledAt.Load())) < storeStallMemory
 }
 
 // FailingFor returns the time since the first of the consecutive failed calls to
--- a/internal/request/gate/submit.go
+++ b/internal/request/gate/submit.go
@@ -45,6 +45,9 @@
 		g.recordOutcome(callerReq, http.StatusOK, "accepted")
 		writer.WriteHeader(http.StatusOK)
 	default:
+		if verdict.Reason == drive.ReasonStoreStalled {
+			g.storeStalledAt.Store(time.Now().UnixNano())
+		}
 		g.refuse(writer, callerReq, verdict.Reason, verdict.RetryAfter)
 	}
 }
