sched: check the free capacity first when a stage looks for workers

Cause: a plan with many waiting stages compares each with every worker, full ones included, and looks tickets and labels up for them. Change: the search for a place rules out full workers first; the decisions are the same.

--- a/internal/process/sched/place.go
+++ b/internal/process/sched/place.go
@@ -13,7 +13,8 @@
 // place reserves workers for the waiting tasks of a stage: for as many as fit,
 // or for a whole gang or none of it.
 func (c *Core) place(now Moment, stage *stage, reservations gangReservations, allowed func(*worker) bool) []*attempt {
-	candidates := c.candidates(now, stage, reservations, allowed)
+	size := demand(stage.spec)
+	candidates := c.candidates(now, stage, reservations, func(w *worker) bool { return size.Fits(w.free()) && allowed(w) })
 	if len(candidates) == 0 {
 		return nil
 	}
@@ -35,8 +36,9 @@
 	return placed
 }
 
-// candidates lists the workers that may take a task of the stage now, whatever
-// their free capacity.
+// candidates lists the workers that may take a task of the stage now and that
+// allowed accepts, whatever their free capacity. allowed comes first among the
+// checks that differ by stage: on a class full of work it rules out most workers.
 func (c *Core) candidates(now Moment, stage *stage, reservations gangReservations, allowed func(*worker) bool) []*worker {
 	var candidates []*worker
 	endsAt := now.BootTime + c.runTime(stage.job.workflow.Queue.Name, stage.spec)
@@ -44,7 +46,7 @@
 		endsAt = now.BootTime + indefinite
 	}
 	for _, worker := range c.sortedWorkers {
-		if !worker.usable() || worker.backoffUntil > now.BootTime || !worker.canRun(stage.spec) {
+		if !worker.usable() || worker.backoffUntil > now.BootTime || !allowed(worker) || !worker.canRun(stage.spec) {
 			continue
 		}
 		if reservations.blocks(stage, worker.entry.ID, endsAt) {
@@ -54,9 +56,7 @@
 			!worker.reservedFor.job.ended && stage.job.workflow.Queue.Priority >= worker.reservedFor.job.workflow.Queue.Priority {
 			continue
 		}
-		if allowed(worker) {
-			candidates = append(candidates, worker)
-		}
+		candidates = append(candidates, worker)
 	}
 	return candidates
 }
