sched: ask about up to 100 workers for a gang

Hypothesis: since all members need allowed workers at once, one longer call costs less than two. Change: a gang names up to 100 workers, the most that a call may name.

--- a/internal/process/sched/advice.go
+++ b/internal/process/sched/advice.go
@@ -32,6 +32,9 @@
 	ticketMargin = 150 * time.Millisecond
 	// maxWorkersPerCall bounds the workers of one call to the policy service.
 	maxWorkersPerCall = 40
+	// maxGangWorkersPerCall is the same for a gang. All its members need allowed
+	// workers at the same time, and a second call takes its fixed time again.
+	maxGangWorkersPerCall = 100
 	// spareCallShare bounds the time that workers without reserved capacity add
 	// to a call, as a share of its fixed time. Their tickets serve the step's
 	// next tasks, and repeated starts after a refusal.
@@ -122,8 +125,12 @@
 		return nil
 	}
 	c.sortByFit(stage, unevaluated)
-	workers := make([]string, 0, maxWorkersPerCall)
-	for _, worker := range unevaluated[:min(len(unevaluated), maxWorkersPerCall)] {
+	limit := maxWorkersPerCall
+	if stage.spec.Gang {
+		limit = maxGangWorkersPerCall
+	}
+	workers := make([]string, 0, limit)
+	for _, worker := range unevaluated[:min(len(unevaluated), limit)] {
 		workers = append(workers, worker.entry.ID)
 	}
 	return c.callPolicy(now, stage, workers)
