--- a/internal/process/drive/drive.go
+++ b/internal/process/drive/drive.go
@@ -10,6 +10,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/sirupsen/logrus"
+	"google.golang.org/protobuf/proto"
 
 	"cairnbay"
 	cairnbayv1 "cairnbay/gen/cairnbay/v1"
@@ -38,6 +39,9 @@
 	Sched   sched.Config
 	// MaxSegments is the length at which the journal is rewritten, in segments.
 	MaxSegments int
+	// MaxGrowth is the number of bytes, beyond as many as the last rewrite had, by
+	// which the journal grows before it is rewritten.
+	MaxGrowth int
 	// Lease is how long a worker runs its tasks without a renewal.
 	Lease time.Duration
 	// EntryTTL is how long a worker stays on the platform's list after its last
@@ -78,8 +82,10 @@
 	fenced bool
 	// pendingCancels counts the cancellations being stored.
 	pendingCancels int
-	// compacting says that the journal is being rewritten.
-	compacting bool
+	// compacting says that the journal is being rewritten, rewrittenBytes is the size
+	// of the last rewrite.
+	compacting     bool
+	rewrittenBytes int
 	// inherited are the IDs of the workers that former owners used and that have
 	// neither answered this owner nor been counted as lost.
 	inherited map[string]struct{}
@@ -109,8 +115,11 @@
 	compactPeriod = 100 * time.Millisecond
 	// loadRetryPause is the pause between attempts to read the journal.
 	loadRetryPause = 200 * time.Millisecond
-	// loadTimeout bounds one attempt to read the journal.
-	loadTimeout = 4 * time.Second
+	// minLoadTimeout bounds the first attempt to read the journal. It doubles with
+	// each further one up to maxLoadTimeout, since a long journal takes long on a
+	// slow link.
+	minLoadTimeout = 4 * time.Second
+	maxLoadTimeout = 32 * time.Second
 	// attemptsPerOwner is how many attempt numbers are reserved for each owner, so
 	// that successive owners use different ones for a task.
 	attemptsPerOwner = 1000
@@ -186,15 +195,15 @@
 	}
 }
 
-// load rebuilds the state from the journal. It retries until it succeeds, and
-// returns false if the drive is closed first.
+// load rebuilds the state from the journal. It retries until it succeeds, each time
+// with more time, and returns false if the drive is closed first.
 func (d *Drive) load() bool {
-	for {
-		ctx, cancel := context.WithTimeout(d.ctx, loadTimeout)
+	for timeout := minLoadTimeout; ; timeout = min(2*timeout, maxLoadTimeout) {
+		ctx, cancel := context.WithTimeout(d.ctx, timeout)
 		journal, err := record.Load(ctx, d.config.Store, d.config.Claim.Class)
 		cancel()
 		if err == nil {
-			d.writer.AddSegments(journal.SegmentKeys)
+			d.writer.AddSegments(journal.SegmentKeys, journal.Bytes)
 			d.replay(journal.Records)
 			return true
 		}
@@ -229,6 +238,8 @@
 			delete(workers, rec.GetReleased())
 		case rec.GetSettled() > 0:
 			d.settled = rec.GetSettled()
+		case rec.GetEnded() != nil:
+			d.core.RestoreEnded(now, rec.GetEnded().GetId(), cairnbay.WorkflowState(rec.GetEnded().GetState()))
 		}
 	}
 	for id, entry := range workers {
@@ -382,8 +393,9 @@
 	return d.core.Counts()
 }
 
-// compact removes expired jobs, and rewrites the journal without them once it
-// has MaxSegments segments. The snapshot does not contain acceptances and
+// compact removes expired jobs, and rewrites the journal without them once it has
+// MaxSegments segments, or has grown by MaxGrowth and its size at the last rewrite.
+// The snapshot does not contain acceptances and
 // cancellations that are being stored, so a rewrite waits until there are none.
 func (d *Drive) compact() {
 	d.mu.Lock()
@@ -395,7 +407,10 @@
 		d.config.Log.WithField("job", id).Info("expired job removed")
 	}
 	segmentsBefore := d.writer.Segments()
-	if d.compacting || segmentsBefore < d.config.MaxSegments || len(d.pending) > 0 || d.pendingCancels > 0 {
+	if d.compacting || len(d.pending) > 0 || d.pendingCancels > 0 {
+		return
+	}
+	if grown := d.writer.Growth(); segmentsBefore < d.config.MaxSegments && grown < d.config.MaxGrowth+d.rewrittenBytes {
 		return
 	}
 	d.compacting = true
@@ -408,6 +423,10 @@
 		d.compacting = false
 		d.mu.Unlock()
 	})
+	d.rewrittenBytes = 0
+	for _, rec := range records {
+		d.rewrittenBytes += proto.Size(rec)
+	}
 }
 
 // snapshot returns the records that rebuild the present state; the caller holds
@@ -424,6 +443,12 @@
 		}
 	}
 	for _, job := range d.core.Snapshot() {
+		if job.Ended != cairnbay.WorkflowUnknown {
+			records = append(records, &cairnbayv1.WorkRecord{Ended: &cairnbayv1.EndedWorkflow{
+				Id: job.Workflow.ID, State: uint32(job.Ended),
+			}})
+			continue
+		}
 		records = append(records, &cairnbayv1.WorkRecord{Accepted: EncodeWorkflow(&job.Workflow)})
 		records = append(records, encodeRecords(job.Records)...)
 		if job.Cancelled {
--- a/internal/process/drive/drive_test.go
+++ b/internal/process/drive/drive_test.go
@@ -103,6 +103,7 @@
 		AdviceLimits: func() (int, int) { return 4, 4 },
 		Advise:       c.advise,
 		MaxSegments:  c.maxSegments,
+		MaxGrowth:    1 << 20,
 		Sched:        sched.Config{Retention: time.Minute, StopTime: 50 * time.Millisecond},
 		OnFenced:     func() {},
 	})
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -132,6 +132,9 @@
 	// rewritten: one to two minutes of writes at the highest rate. A new owner
 	// reads as many in a few pages.
 	maxSegments = 2000
+	// maxGrowth is the number of bytes after which a journal is rewritten. A new
+	// owner reads them in about a second over a link of 10 Mbit/s.
+	maxGrowth = 1 << 20
 	// ownerFailureTimeout is how long calls to owners may fail before the instance
 	// counts as isolated even if it reaches the store; a change of owner takes
 	// less.
@@ -350,7 +353,7 @@
 		Claim: claim, Store: n.config.Platform.Store, Agent: n.config.Platform.Agent,
 		Advise: advise, AdviceLimits: n.advicePool.Limits,
 		Clock: n.config.Clock, BootTime: timer.Boot, Log: n.config.Log, Metrics: n.config.Metrics,
-		Sched: n.config.Sched, Lease: n.config.Lease, EntryTTL: n.config.EntryTTL, MaxSegments: maxSegments,
+		Sched: n.config.Sched, Lease: n.config.Lease, EntryTTL: n.config.EntryTTL, MaxSegments: maxSegments, MaxGrowth: maxGrowth,
 		OnFenced: func() { n.background.Go(func() { n.tenure.Abandon(claim.Class) }) },
 	})
 	acquired := &ownedClass{drive: classDrive, workers: newWorkerList(n, claim.Class, classDrive)}
--- a/internal/process/record/journal.go
+++ b/internal/process/record/journal.go
@@ -23,6 +23,8 @@
 	// SegmentKeys are the store keys of all segments, including those that a
 	// rewrite has superseded and not removed yet.
 	SegmentKeys []string
+	// Bytes is the size of all segments.
+	Bytes int
 }
 
 // Load reads the whole journal of a class. It returns the store's error, or that
@@ -47,6 +49,7 @@
 		}
 		segments = append(segments, segment)
 		journal.SegmentKeys = append(journal.SegmentKeys, entry.Key)
+		journal.Bytes += len(entry.Value)
 	}
 	for i, segment := range segments {
 		if journal.SegmentKeys[i] >= restartAt {
--- a/internal/process/record/load_test.go
+++ b/internal/process/record/load_test.go
@@ -126,7 +126,7 @@
 			keys = append(keys, key)
 		}
 		writer := open(1)
-		writer.AddSegments(keys)
+		writer.AddSegments(keys, 0)
 		kept := make([]*cairnbayv1.WorkRecord, records)
 		for n := range kept {
 			kept[n] = &cairnbayv1.WorkRecord{Done: &cairnbayv1.TaskRef{Job: fmt.Sprintf("%016x", n)}}
--- a/internal/process/record/write.go
+++ b/internal/process/record/write.go
@@ -126,6 +126,9 @@
 	defer w.mu.Unlock()
 	for _, put := range stored.puts {
 		w.keys = append(w.keys, put.Key)
+		if put.Key == stored.key {
+			w.growth += len(put.Value)
+		}
 	}
 	if len(stored.remove) > 0 {
 		w.keys = slices.DeleteFunc(w.keys, func(key string) bool {
--- a/internal/process/record/writer.go
+++ b/internal/process/record/writer.go
@@ -48,6 +48,8 @@
 	stopped bool
 	// keys are the keys of the segments in the store.
 	keys []string
+	// growth is the size of the records stored since the last call of Compact.
+	growth int
 	// rewrite is the rewrite under way, nil without one. rewriteInFlight says that
 	// a write in flight has a part of it.
 	rewrite         *rewrite
@@ -145,6 +147,9 @@
 // small steps beside the writes of other records. done is called as by Append,
 // once the older segments are removed.
 func (w *Writer) Compact(records []*cairnbayv1.WorkRecord, done func(error)) {
+	w.mu.Lock()
+	w.growth = 0
+	w.mu.Unlock()
 	w.append(entry{records: records, done: done, rewrite: true})
 }
 
@@ -155,12 +160,21 @@
 	return len(w.keys)
 }
 
-// AddSegments adds the keys of the segments that former owners stored, so that
-// Segments counts them and Compact removes them.
-func (w *Writer) AddSegments(keys []string) {
+// Growth returns the number of bytes that the journal has grown by since the last
+// call of Compact.
+func (w *Writer) Growth() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.growth
+}
+
+// AddSegments adds the segments that former owners stored, so that Segments and
+// Growth count them and Compact removes them.
+func (w *Writer) AddSegments(keys []string, size int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.keys = append(slices.Clone(keys), w.keys...)
+	w.growth += size
 }
 
 // append adds an entry to the queue; a stopped writer fails it with ErrFenced.
--- a/internal/process/sched/result.go
+++ b/internal/process/sched/result.go
@@ -281,16 +281,16 @@
 		attemptEnd.RunTime = now.BootTime - a.startedAt
 	}
 	job := c.jobs[end.Task.Job]
-	if job == nil {
+	var stage *stage
+	if job != nil {
+		stage = job.stageAt(end.Task.Occurrence, end.Task.Step)
+	}
+	if stage == nil || stage.task(end.Task.Index) == nil {
 		if a != nil {
 			c.detach(a)
 		}
 		return nil, attemptEnd
 	}
-	stage := job.stageAt(end.Task.Occurrence, end.Task.Step)
-	if stage == nil || stage.task(end.Task.Index) == nil {
-		return nil, attemptEnd
-	}
 	attemptEnd.JobKnown = true
 	task := stage.task(end.Task.Index)
 	task.lastAttempt = max(task.lastAttempt, end.Attempt)
--- a/internal/process/sched/sched.go
+++ b/internal/process/sched/sched.go
@@ -54,6 +54,9 @@
 	// changeCount counts events that may let a blocked stage place tasks.
 	changeCount   uint64
 	runTimeRatios map[string]*runTimeRatio
+	// backlog is the time that the class takes for the tasks that waited at the
+	// last plan.
+	backlog time.Duration
 	// inFlight counts the calls to the policy service in flight, bounded by
 	// callLimit.
 	inFlight, callLimit callCounts
@@ -184,9 +187,11 @@
 	return removed
 }
 
-// JobRecord is the durable state of a job.
+// JobRecord is the durable state of a job. Of a job that has ended and of which
+// nothing runs, only the ID of Workflow and Ended are set.
 type JobRecord struct {
 	Workflow  cairnbay.Workflow
+	Ended     cairnbay.WorkflowState
 	Cancelled bool
 	Records   []Record
 }
@@ -195,6 +200,10 @@
 func (c *Core) Snapshot() []JobRecord {
 	jobs := make([]JobRecord, 0, len(c.jobs))
 	for _, job := range c.jobs {
+		if job.ended && job.attempts == 0 && job.unwritten == 0 {
+			jobs = append(jobs, JobRecord{Workflow: cairnbay.Workflow{ID: job.workflow.ID}, Ended: job.state()})
+			continue
+		}
 		record := JobRecord{Workflow: job.workflow, Cancelled: job.cancelled}
 		for _, stage := range job.stages {
 			record.Records = append(record.Records, stage.snapshot()...)
@@ -204,6 +213,18 @@
 	return jobs
 }
 
+// RestoreEnded adds a job of which a snapshot holds only its final state. Its
+// retention starts anew.
+func (c *Core) RestoreEnded(now Moment, id string, state cairnbay.WorkflowState) {
+	if c.jobs[id] != nil {
+		return
+	}
+	c.jobs[id] = &job{
+		workflow: cairnbay.Workflow{ID: id}, ended: true, endedAt: now.BootTime,
+		cancelled: state == cairnbay.WorkflowCancelled, failed: state == cairnbay.WorkflowFailed,
+	}
+}
+
 func (s *stage) snapshot() (records []Record) {
 	for _, number := range s.gangFailures {
 		records = append(records, Record{RecordFailed, s.ref(0), number})
