tenure: wait for better instances after an outage that outlasted the leases

Cause: when the store is away for longer than a lease, the keys of all instances lapse. Change: for 3 s after its own lease has lapsed an instance still ranks those whose keys lapsed at about the same time. Without a lapse of its own nothing changes, so that a lost owner is replaced as fast as before.

--- a/internal/process/tenure/claim.go
+++ b/internal/process/tenure/claim.go
@@ -4,7 +4,9 @@
 	"cmp"
 	"context"
 	"errors"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -141,7 +143,7 @@
 	}
 	own := t.config
 	rank := 0
-	for _, node := range t.nodes {
+	for _, node := range t.expectedNodes() {
 		if node.Instance == own.Instance {
 			continue
 		}
@@ -158,6 +160,24 @@
 	return rank
 }
 
+// expectedNodes returns the live instances. If the lease of this instance has lapsed
+// of late, the store was out of reach for longer than a lease, and the instances
+// whose keys lapsed with it are included: the first to return would otherwise
+// claim every class, however few resources it has. The caller holds the lock.
+func (t *Tenure) expectedNodes() []Node {
+	nodes := slices.Collect(maps.Values(t.nodes))
+	now := t.config.BootTime()
+	if t.lapsedAt == 0 || now-t.lapsedAt > returnTime {
+		return nodes
+	}
+	for instance, lapsed := range t.lapsedNodes {
+		if _, live := t.nodes[instance]; !live && t.lapsedAt-lapsed.deletedAt < returnTime {
+			nodes = append(nodes, lapsed.Node)
+		}
+	}
+	return nodes
+}
+
 // score returns the weight of an instance for a class in rendezvous hashing.
 func score(class, instance string) uint64 {
 	return xxhash.Sum64String(class + "\x00" + instance)
--- a/internal/process/tenure/events.go
+++ b/internal/process/tenure/events.go
@@ -72,6 +72,9 @@
 func (t *Tenure) applyNode(instance string, change cairnbay.Event) {
 	var presence cairnbayv1.Presence
 	if change.Kind == cairnbay.EventDelete {
+		if node, ok := t.nodes[instance]; ok {
+			t.lapsedNodes[instance] = lapsedNode{node, t.config.BootTime()}
+		}
 		delete(t.nodes, instance)
 		t.config.Log.WithField("peer", instance).Info("instance key deleted")
 		return
--- a/internal/process/tenure/tenure.go
+++ b/internal/process/tenure/tenure.go
@@ -101,6 +101,12 @@
 	LinkMbps float64
 }
 
+// lapsedNode is an instance whose key was deleted at a time on the boot-time clock.
+type lapsedNode struct {
+	Node
+	deletedAt time.Duration
+}
+
 // Tenure renews this instance's lease, claims classes without an owner, and
 // follows the instances and owners in the store.
 type Tenure struct {
@@ -117,6 +123,12 @@
 	// ownerRevisions holds the highest applied revision of each owner key, by class.
 	ownerRevisions map[string]cairnbay.Revision
 	nodes          map[string]Node
+	// lapsedNodes holds the instances whose keys were deleted. After an outage of
+	// the store that outlasted the leases, they are about to return.
+	lapsedNodes map[string]lapsedNode
+	// lapsedAt is the time on the boot-time clock at which this instance found its
+	// own lease lapsed; 0 for never.
+	lapsedAt time.Duration
 	// claimDelayStart is the time, on the boot-time clock, at which the claim delay
 	// of a class without an owner starts: settleTime ahead when the class is first
 	// checked, otherwise the deletion of the owner key or the last failed claim.
@@ -151,6 +163,9 @@
 	// read each other's keys. A claim that is younger is not restored, since the
 	// watch may not have returned its key yet.
 	settleTime = 400 * time.Millisecond
+	// returnTime is how long after an outage of the store the instances whose keys
+	// lapsed in it are expected to return.
+	returnTime = 3 * time.Second
 	// rankDelay is the delay of a claim per rank, so that an instance claims a
 	// class only if those ranked before it have not.
 	rankDelay = 250 * time.Millisecond
@@ -163,6 +178,7 @@
 	t := &Tenure{
 		config: config, cancel: cancel, wake: make(chan struct{}, 1), life: rand.Uint64(),
 		owners: make(map[string]Owner), ownerRevisions: make(map[string]cairnbay.Revision), nodes: make(map[string]Node),
+		lapsedNodes:     make(map[string]lapsedNode),
 		claimDelayStart: make(map[string]time.Duration), claims: make(map[string]Claim), everClaimed: make(map[string]bool),
 		changed: make(chan struct{}), storeHealthySince: config.BootTime(),
 	}
@@ -323,6 +339,9 @@
 			return false
 		}
 		t.config.Log.Warn("store lease lapsed")
+		t.mu.Lock()
+		t.lapsedAt = t.config.BootTime()
+		t.mu.Unlock()
 	}
 	lease, err := t.config.Store.Grant(ctx, t.config.LeaseTTL)
 	if err != nil {
--- a/internal/process/tenure/tenure_test.go
+++ b/internal/process/tenure/tenure_test.go
@@ -125,6 +125,29 @@
 		Consistently(first.owns("a"), "300ms").Should(BeFalse())
 	})
 
+	It("are not the first to return after an outage that outlasted the leases", func() {
+		strong := start("strong", 0.8, "a")
+		DeferCleanup(strong.Close)
+		weak := start("weak", 0.2, "a")
+		DeferCleanup(weak.Close)
+		Eventually(strong.owns("a"), "4s").Should(BeTrue())
+		Eventually(func() int { return len(weak.Nodes()) }, "2s").Should(Equal(2))
+		// The strong instance is out of reach of the store a little longer, in which
+		// the keys of both lapse.
+		fakeStore.SetCut("strong", true)
+		fakeStore.SetCut("weak", true)
+		time.Sleep(2 * leaseTTL)
+		fakeStore.SetCut("weak", false)
+		Eventually(func() int { return len(weak.Nodes()) }, "2s", "5ms").Should(Equal(1))
+		Consistently(weak.owns("a"), "150ms").Should(BeFalse())
+		fakeStore.SetCut("strong", false)
+		Eventually(func() string {
+			owner, _ := weak.Owner("a")
+			return owner.Instance
+		}, "4s").Should(Equal("strong"))
+		Expect(weak.owns("a")()).To(BeFalse())
+	})
+
 	It("claim a class in a store that takes most of the time of a call", func() {
 		const slowAnswer = 400 * time.Millisecond
 		claimed := make(chan tenure.Claim, 10)
