sched: place late work before patient work of lower priority

A gang that a burst has made late was placed after all work in time, and so waited until the class had room for everything, 30 s and more. Hypothesis: work that can wait a quarter of its objective, and twice the time of the work that waits now, still meets its objective after the late work. Change: such work is patient. Patient and late work share a level; in it priority decides, then patience.

--- a/internal/process/sched/admit.go
+++ b/internal/process/sched/admit.go
@@ -96,17 +96,35 @@
 func (c *Core) expectedWait(now Moment, workflow cairnbay.Workflow, capacity cairnbay.Resources) time.Duration {
 	var workAhead [cairnbay.Dimensions]float64
 	for stage := range c.readyStages {
-		if stage.job.workflow.Queue.Priority > workflow.Queue.Priority || c.urgency(now, stage) > urgencyInTime {
+		if stage.job.workflow.Queue.Priority > workflow.Queue.Priority || c.urgency(now, stage) > urgencyPatient {
 			continue
 		}
 		c.addWork(&workAhead, stage)
 	}
+	uses := func(dimension int) bool { return usesDimension(workflow.Steps, dimension) }
+	return timeForWork(workAhead, capacity, uses)
+}
+
+// updateBacklog estimates the time that the class takes for all waiting tasks of
+// ready stages.
+func (c *Core) updateBacklog() {
+	var work [cairnbay.Dimensions]float64
+	for stage := range c.readyStages {
+		c.addWork(&work, stage)
+	}
+	capacity, _ := c.classCapacity(nil)
+	c.backlog = timeForWork(work, capacity, func(int) bool { return true })
+}
+
+// timeForWork is the time that workers with a capacity take for work, by the
+// scarcest of the resources that count.
+func timeForWork(work [cairnbay.Dimensions]float64, capacity cairnbay.Resources, counts func(dimension int) bool) time.Duration {
 	longest := time.Duration(0)
 	for i, total := range capacity.Values() {
-		if total <= 0 || !usesDimension(workflow.Steps, i) {
+		if total <= 0 || !counts(i) {
 			continue
 		}
-		longest = max(longest, time.Duration(workAhead[i]/(float64(total)*packingEfficiency)*float64(time.Second)))
+		longest = max(longest, time.Duration(work[i]/(float64(total)*packingEfficiency)*float64(time.Second)))
 	}
 	return longest
 }
--- a/internal/process/sched/plan.go
+++ b/internal/process/sched/plan.go
@@ -134,6 +134,7 @@
 		}
 		stages = append(stages, stage)
 	}
+	c.updateBacklog()
 	slices.SortFunc(stages, func(a, b *stage) int { return c.comparePrecedence(now, a, b) })
 	reservations := make(gangReservations)
 	for _, stage := range stages {
@@ -148,25 +149,30 @@
 
 const (
 	// fullLeadMembers is the number of members beyond the first with which the
-	// latest start of a gang is earlier by the whole gangLead, a share of the
+	// latest start of a gang is earlier by the whole maxGangLead, a share of the
 	// job's critical path.
 	fullLeadMembers = 2.0
-	gangLead        = 0.5
+	maxGangLead     = 0.5
+	// patientShare is the share of its objective that a stage must be able to wait
+	// to count as patient.
+	patientShare = 0.25
 )
 
-// Levels of urgency by the estimated end, in order of precedence.
+// Levels of urgency by the estimated end.
 const (
-	// urgencyInTime meets the objective or exceeds it by up to a tenth.
-	// Long-running steps and jobs with occurrences always have this level.
+	// urgencyInTime meets the objective if it starts soon, or exceeds it by up to a
+	// tenth. Long-running steps and jobs with occurrences always have this level.
 	urgencyInTime = iota
+	// urgencyPatient meets the objective even if it waits for patientShare of it, and
+	// if it waits for the work that waits now.
+	urgencyPatient
 	// urgencyLate ends within maxLatenessFactor times the objective.
 	urgencyLate
 	// urgencyExpired ends later than that, so its completion has no value.
 	urgencyExpired
 )
 
-// urgency returns the level of a stage. Stages that can no longer meet the
-// objective are placed after all that can.
+// urgency returns the level of a stage.
 func (c *Core) urgency(now Moment, stage *stage) int {
 	job := stage.job
 	if stage.spec.LongRunning || job.workflow.Occurrences > 0 {
@@ -175,6 +181,8 @@
 	slack := job.deadline - now.BootTime - c.runTime(job.workflow.Queue.Name, stage.spec)
 	objective := LatencyObjective(job.workflow.Queue, job.criticalPath)
 	switch {
+	case slack-c.gangLead(stage) > max(time.Duration(patientShare*float64(objective)), 2*c.backlog):
+		return urgencyPatient
 	case slack > -objective/10:
 		return urgencyInTime
 	case slack > -2*objective:
@@ -184,10 +192,22 @@
 	}
 }
 
+// precedence returns the rank of an urgency before priorities count. Late work
+// precedes patient work of lower priority, which can still meet its objective
+// after it; otherwise late gangs would wait until no work is patient.
+func precedence(urgency int) int {
+	if urgency == urgencyLate {
+		return urgencyPatient
+	}
+	return urgency
+}
+
 func (c *Core) comparePrecedence(now Moment, a, b *stage) int {
+	urgencyA, urgencyB := c.urgency(now, a), c.urgency(now, b)
 	return cmp.Or(
-		cmp.Compare(c.urgency(now, a), c.urgency(now, b)),
+		cmp.Compare(precedence(urgencyA), precedence(urgencyB)),
 		cmp.Compare(a.job.workflow.Queue.Priority, b.job.workflow.Queue.Priority),
+		cmp.Compare(urgencyA, urgencyB),
 		cmp.Compare(c.latestStart(a), c.latestStart(b)),
 		cmp.Compare(a.job.workflow.ID, b.job.workflow.ID),
 		cmp.Compare(a.key.occurrence, b.key.occurrence),
@@ -196,16 +216,19 @@
 }
 
 // latestStart is when a job must start to meet its objective, whatever steps
-// are done. It is earlier for wide gangs, since capacity for all members is
-// seldom free at once.
+// are done.
 func (c *Core) latestStart(stage *stage) time.Duration {
-	job := stage.job
-	latest := job.deadline - job.criticalPath
-	if stage.spec.Gang {
-		width := min(float64(len(stage.tasks)-1)/fullLeadMembers, 1)
-		latest -= time.Duration(width * gangLead * float64(job.criticalPath))
+	return stage.job.deadline - stage.job.criticalPath - c.gangLead(stage)
+}
+
+// gangLead is how much earlier a gang must start than a single task. It is longer
+// for wide gangs, since capacity for all members is seldom free at once.
+func (c *Core) gangLead(stage *stage) time.Duration {
+	if !stage.spec.Gang {
+		return 0
 	}
-	return latest
+	width := min(float64(len(stage.tasks)-1)/fullLeadMembers, 1)
+	return time.Duration(width * maxGangLead * float64(stage.job.criticalPath))
 }
 
 // planStage returns the starts of a stage's waiting tasks that can be placed
