--- a/internal/process/sched/burst_test.go
+++ b/internal/process/sched/burst_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -14,10 +13,6 @@
 	"cairnbay/internal/process/sched"
 )
 
-// skipKnownRed is the environment variable by which CI skips the tests listed
-// in KNOWN-RED.txt.
-const skipKnownRed = "CAIRNBAY_SKIP_KNOWN_RED"
-
 const (
 	// oneLane is the number of lanes for short calls with a few instances,
 	// fewLanes with five of seven.
@@ -101,9 +96,6 @@
 
 	check := func(seed uint64, lanes int) {
 		It(fmt.Sprintf("does not make quotes late beside patient work (seed %d, lanes %d)", seed, lanes), func() {
-			if seed == 3 && lanes == oneLane && os.Getenv(skipKnownRed) != "" {
-				Skip("listed in KNOWN-RED.txt")
-			}
 			loads, onlyQuotes, onlyCatalogue := misestimatedBurst(seed)
 			quotesAlone := newAdvisedCPUSimulation()
 			quotesAlone.replay(onlyQuotes, true, 40*time.Second)
