--- a/internal/process/node/isolation.go
+++ b/internal/process/node/isolation.go
@@ -98,6 +98,6 @@
 			first = append(first, node.Address)
 		}
 	}
-	addresses := append(first, others...)
-	return addresses[:min(len(addresses), maxReachedInstances)]
+	first = append(first, others...)
+	return first[:min(len(first), maxReachedInstances)]
 }
--- a/internal/process/node/isolation_test.go
+++ b/internal/process/node/isolation_test.go
@@ -39,8 +39,12 @@
 
 	It("calls instances of every other data centre before a second one of any", func() {
 		nodes := []tenure.Node{
-			{Address: "a1", DataCentre: "a"}, {Address: "b1", DataCentre: "b"}, {Address: "b2", DataCentre: "b"},
-			{Address: "b3", DataCentre: "b"}, {Address: "c1", DataCentre: "c"}, {Address: "d1", DataCentre: "d"},
+			{Address: "a1", DataCentre: "a"},
+			{Address: "b1", DataCentre: "b"},
+			{Address: "b2", DataCentre: "b"},
+			{Address: "b3", DataCentre: "b"},
+			{Address: "c1", DataCentre: "c"},
+			{Address: "d1", DataCentre: "d"},
 		}
 		Expect(remoteAddresses(nodes, "a")).To(Equal([]string{"b1", "c1", "d1", "b2"}))
 		Expect(remoteAddresses(nodes[:1], "a")).To(BeEmpty())
--- a/internal/process/record/writer.go
+++ b/internal/process/record/writer.go
@@ -317,7 +317,7 @@
 func (w *Writer) fail(batch []entry, err error) {
 	w.mu.Lock()
 	w.stopped = true
-	failed := append(batch, w.pending...)
+	failed := slices.Concat(batch, w.pending)
 	w.pending = nil
 	if w.rewrite != nil {
 		failed = append(failed, entry{done: w.rewrite.done})
