--- a/internal/process/drive/drive_test.go
+++ b/internal/process/drive/drive_test.go
@@ -51,8 +51,9 @@
 	afterRestart bool
 	// agent is what owners call in place of the fleet; nil for the fleet itself.
 	agent cairnbay.Agent
-	// maxSegments is the number of segments from which owners rewrite the journal.
-	maxSegments int
+	// maxSegments and maxGrowth are the number of segments and the bytes of growth
+	// from which owners rewrite the journal.
+	maxSegments, maxGrowth int
 
 	// runTime is how long each task runs, in nanoseconds.
 	runTime atomic.Int64
@@ -65,7 +66,7 @@
 	logger.SetOutput(io.Discard)
 	c := &cluster{
 		store: store.New(store.Config{Clock: clock}), clock: clock, log: logger.WithField("test", true),
-		maxSegments: 1000,
+		maxSegments: 1000, maxGrowth: 1 << 20,
 	}
 	c.runTime.Store(int64(runTime))
 	c.fleet = agent.New(agent.Config{
@@ -103,7 +104,7 @@
 		AdviceLimits: func() (int, int) { return 4, 4 },
 		Advise:       c.advise,
 		MaxSegments:  c.maxSegments,
-		MaxGrowth:    1 << 20,
+		MaxGrowth:    c.maxGrowth,
 		Sched:        sched.Config{Retention: time.Minute, StopTime: 50 * time.Millisecond},
 		OnFenced:     func() {},
 	})
