drive: give late answers of workers more time before workers count as lost

A renewal is given up after 0.75 s and each further one after 0.25 s. Hypothesis: an owner that waits longer with each failure hears its workers before their leases end. Change: the time of a renewal doubles with each failure up to 2 s, and never passes the end of the lease. Conclusion: kept for the rule; whether it is the whole cause is open.

--- a/internal/process/drive/link.go
+++ b/internal/process/drive/link.go
@@ -63,6 +63,10 @@
 	// renewMargin is what the timeout of a renewal adds to renewWait. An answer
 	// takes milliseconds; a lost one delays the report of ends by this margin.
 	renewMargin = 250 * time.Millisecond
+	// maxRenewTimeout bounds the timeout of a renewal after failed ones. An owner
+	// that is short of processor time or bandwidth handles answers late; without
+	// them it would count workers as lost whose tasks have ended.
+	maxRenewTimeout = 2 * time.Second
 	// maxRenewSilence is how long after its last answer a worker's lease is
 	// still renewed.
 	maxRenewSilence = 1500 * time.Millisecond
@@ -110,11 +114,23 @@
 // leaseEnded says whether every lease granted so far has certainly ended, even on
 // a slow worker clock.
 func (l *link) leaseEnded(now time.Duration) bool {
-	if l.answeredAt == 0 {
-		return false
+	return l.answeredAt > 0 && now > l.leaseEndsBy()
+}
+
+// leaseEndsBy is the boot time at which every lease granted so far has certainly
+// ended, for a worker that has answered.
+func (l *link) leaseEndsBy() time.Duration {
+	return l.answeredAt + time.Duration(float64(l.leaseEnd-l.clock)*clockDriftFactor) + transitMargin
+}
+
+// renewTimeout is how long a renewal sent now may take beyond its wait. It doubles
+// with each failed one, but a worker whose lease ends is noticed in time.
+func (l *link) renewTimeout(now time.Duration) time.Duration {
+	timeout := min(renewMargin<<min(l.failures, 8), maxRenewTimeout)
+	if l.answeredAt > 0 {
+		timeout = min(timeout, max(l.leaseEndsBy()-now, renewMargin))
 	}
-	remaining := time.Duration(float64(l.leaseEnd-l.clock) * clockDriftFactor)
-	return now-l.answeredAt > remaining+transitMargin
+	return timeout
 }
 
 // updateClock stores the worker's clock from an answer, by which the worker also
@@ -160,12 +176,13 @@
 	if l.answeredAt == 0 || l.failures > 0 {
 		order.Wait = 0
 	}
+	timeout := order.Wait + l.renewTimeout(sent)
 	fenced := d.fenced
 	d.mu.Unlock()
 	if fenced {
 		return 0, false
 	}
-	ctx, cancel := context.WithTimeout(d.ctx, order.Wait+renewMargin)
+	ctx, cancel := context.WithTimeout(d.ctx, timeout)
 	state, err := d.config.Agent.Hold(ctx, l.target(), order)
 	cancel()
 	if d.ctx.Err() != nil {
