--- a/internal/process/record/try.go
+++ b/internal/process/record/try.go
@@ -43,10 +43,12 @@
 		case <-ctx.Done():
 			return cairnbay.ErrUnknown
 		case <-timer.C:
-			tries++
-			unanswered++
-			w.startTry(ctx, next, outcomes)
-			timer.Reset(w.repeatAfter())
+			timer.Reset(w.repeatAfter(tries))
+			if unanswered < maxUnanswered {
+				tries++
+				unanswered++
+				w.startTry(ctx, next, outcomes)
+			}
 			continue
 		case ended := <-outcomes:
 			unanswered--
@@ -119,11 +121,13 @@
 	}
 }
 
-// repeatAfter is how long a try may go without an answer before the next one.
-func (w *Writer) repeatAfter() time.Duration {
+// repeatAfter is how long a try after earlier ones may go without an answer before
+// the next one. It doubles once, since an owner that is short of processor time
+// must not spend it on repeats.
+func (w *Writer) repeatAfter(earlier int) time.Duration {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return max(minRepeatInterval, stallFactor*w.latency)
+	return max(minRepeatInterval<<min(earlier, 1), stallFactor*w.latency)
 }
 
 // observeLatency updates the latency of recent writes. A rise counts at once, so
--- a/internal/process/record/writer.go
+++ b/internal/process/record/writer.go
@@ -84,6 +84,8 @@
 	// that was silent answers only new calls. With a slow store it is stallFactor
 	// times the recent latency.
 	minRepeatInterval = 250 * time.Millisecond
+	// maxUnanswered bounds the tries of a write that are under way at a time.
+	maxUnanswered = 2
 	// minRetryPause is the pause after the first failed try; it doubles up to
 	// maxRetryPause.
 	minRetryPause = 40 * time.Millisecond
