--- a/internal/process/sched/advice.go
+++ b/internal/process/sched/advice.go
@@ -150,7 +150,7 @@
 // planEarlyAdvice requests tickets for steps that will soon be ready, so that
 // the call overlaps with the steps before them.
 func (c *Core) planEarlyAdvice(now Moment) (actions []Action) {
-	var soon []*stage
+	var soon []rankedStage
 	for _, job := range c.jobs {
 		if job.workflow.Queue.Advice == nil || job.ended || len(job.workflow.Steps) == 1 {
 			continue
@@ -160,12 +160,13 @@
 				continue
 			}
 			if c.timeUntilReady(now, stage) <= job.workflow.Queue.Advice.Decide+adviceLead {
-				soon = append(soon, stage)
+				soon = append(soon, c.rankStage(now, stage))
 			}
 		}
 	}
-	slices.SortFunc(soon, func(a, b *stage) int { return c.comparePrecedence(now, a, b) })
-	for _, stage := range soon {
+	slices.SortFunc(soon, comparePrecedence)
+	for _, entry := range soon {
+		stage := entry.stage
 		if c.mayCallPolicy(stage) {
 			stage.advice = newAdvice()
 			actions = append(actions, c.planAdvice(now, stage, nil)...)
--- a/internal/process/sched/plan.go
+++ b/internal/process/sched/plan.go
@@ -57,11 +57,12 @@
 )
 
 // Tick makes the next Plan reconsider every ready stage and request tickets for
-// steps that will soon be ready. The caller ticks at a fixed interval, since
+// steps that will soon be ready, and estimates the work that waits. The caller ticks at a fixed interval, since
 // deadlines and pauses pass without an event.
 func (c *Core) Tick() {
 	c.changeCount++
 	c.ticked = true
+	c.updateBacklog()
 }
 
 // Plan returns the actions that are due now.
@@ -127,17 +128,17 @@
 
 // planStarts places waiting tasks in order of precedence.
 func (c *Core) planStarts(now Moment) (actions []Action) {
-	stages := make([]*stage, 0, len(c.readyStages))
+	ranked := make([]rankedStage, 0, len(c.readyStages))
 	for stage := range c.readyStages {
 		if stage.blockedAtChange == c.changeCount || (c.blockInherited && stage.job.inherited) {
 			continue
 		}
-		stages = append(stages, stage)
+		ranked = append(ranked, c.rankStage(now, stage))
 	}
-	c.updateBacklog()
-	slices.SortFunc(stages, func(a, b *stage) int { return c.comparePrecedence(now, a, b) })
+	slices.SortFunc(ranked, comparePrecedence)
 	reservations := make(gangReservations)
-	for _, stage := range stages {
+	for _, entry := range ranked {
+		stage := entry.stage
 		stageActions := c.planStage(now, stage, reservations)
 		if len(stageActions) == 0 {
 			stage.blockedAtChange = c.changeCount
@@ -202,16 +203,31 @@
 	return urgency
 }
 
-func (c *Core) comparePrecedence(now Moment, a, b *stage) int {
-	urgencyA, urgencyB := c.urgency(now, a), c.urgency(now, b)
+// rankedStage is a stage with what its order depends on, computed once for a sort.
+type rankedStage struct {
+	stage       *stage
+	urgency     int
+	latestStart time.Duration
+}
+
+func (c *Core) rankStage(now Moment, stage *stage) rankedStage {
+	return rankedStage{stage, c.urgency(now, stage), c.latestStart(stage)}
+}
+
+func comparePrecedence(a, b rankedStage) int {
+	if order := cmp.Compare(precedence(a.urgency), precedence(b.urgency)); order != 0 {
+		return order
+	}
+	jobA, jobB := a.stage.job, b.stage.job
+	if order := cmp.Compare(jobA.workflow.Queue.Priority, jobB.workflow.Queue.Priority); order != 0 {
+		return order
+	}
 	return cmp.Or(
-		cmp.Compare(precedence(urgencyA), precedence(urgencyB)),
-		cmp.Compare(a.job.workflow.Queue.Priority, b.job.workflow.Queue.Priority),
-		cmp.Compare(urgencyA, urgencyB),
-		cmp.Compare(c.latestStart(a), c.latestStart(b)),
-		cmp.Compare(a.job.workflow.ID, b.job.workflow.ID),
-		cmp.Compare(a.key.occurrence, b.key.occurrence),
-		cmp.Compare(a.key.step, b.key.step),
+		cmp.Compare(a.urgency, b.urgency),
+		cmp.Compare(a.latestStart, b.latestStart),
+		cmp.Compare(jobA.workflow.ID, jobB.workflow.ID),
+		cmp.Compare(a.stage.key.occurrence, b.stage.key.occurrence),
+		cmp.Compare(a.stage.key.step, b.stage.key.step),
 	)
 }
 
--- a/internal/process/sched/sched.go
+++ b/internal/process/sched/sched.go
@@ -55,7 +55,7 @@
 	changeCount   uint64
 	runTimeRatios map[string]*runTimeRatio
 	// backlog is the time that the class takes for the tasks that waited at the
-	// last plan.
+	// last tick.
 	backlog time.Duration
 	// inFlight counts the calls to the policy service in flight, bounded by
 	// callLimit.
