--- a/internal/process/sched/plan.go
+++ b/internal/process/sched/plan.go
@@ -157,6 +157,10 @@
 	// patientShare is the share of its objective that a stage must be able to wait
 	// to count as patient.
 	patientShare = 0.25
+	// backlogFactor times the time for the work that waits is what patient work must
+	// be able to wait as well: the policy service restricts many stages to a part of
+	// the workers.
+	backlogFactor = 2
 )
 
 // Levels of urgency by the estimated end.
@@ -164,8 +168,8 @@
 	// urgencyInTime meets the objective if it starts soon, or exceeds it by up to a
 	// tenth. Long-running steps and jobs with occurrences always have this level.
 	urgencyInTime = iota
-	// urgencyPatient meets the objective even if it waits for patientShare of it, and
-	// if it waits for the work that waits now.
+	// urgencyPatient meets the objective even if it waits for patientShare of it, or
+	// for backlogFactor times the work that waits now.
 	urgencyPatient
 	// urgencyLate ends within maxLatenessFactor times the objective.
 	urgencyLate
@@ -182,7 +186,7 @@
 	slack := job.deadline - now.BootTime - c.runTime(job.workflow.Queue.Name, stage.spec)
 	objective := LatencyObjective(job.workflow.Queue, job.criticalPath)
 	switch {
-	case slack-c.gangLead(stage) > max(time.Duration(patientShare*float64(objective)), 2*c.backlog):
+	case slack-c.gangLead(stage) > max(time.Duration(patientShare*float64(objective)), backlogFactor*c.backlog):
 		return urgencyPatient
 	case slack > -objective/10:
 		return urgencyInTime
