gate: make the stub owner of the tests safe for late calls

The gate itself is not involved. Change: the stub's answers are atomic; the checks stay as they were.

--- a/internal/request/gate/gate_test.go
+++ b/internal/request/gate/gate_test.go
@@ -32,16 +32,18 @@
 	RunSpecs(t, "gate")
 }
 
-// owner is a stub of a remote instance that owns the classes.
+// owner is a stub of a remote instance that owns the classes. Its answers are
+// atomic, since a repeated call may still arrive when a test changes them.
 type owner struct {
 	cairnbayv1connect.UnimplementedRelayHandler
-	verdict cairnbayv1.SubmitVerdict
+	// verdict is a cairnbayv1.SubmitVerdict.
+	verdict atomic.Int32
 	// dropResponses is how many of the next submissions get no response.
 	dropResponses atomic.Int32
 	submits       atomic.Int32
-	state         cairnbay.WorkflowState
-	found         bool
-	stored        bool
+	// state is a cairnbay.WorkflowState.
+	state         atomic.Uint32
+	found, stored atomic.Bool
 }
 
 func (o *owner) Submit(
@@ -52,20 +54,20 @@
 		panic(http.ErrAbortHandler)
 	}
 	return connect.NewResponse(&cairnbayv1.SubmitWorkflowResponse{
-		Verdict: o.verdict, Reason: "why", RetryAfterMs: 1500,
+		Verdict: cairnbayv1.SubmitVerdict(o.verdict.Load()), Reason: "why", RetryAfterMs: 1500,
 	}), nil
 }
 
 func (o *owner) Inspect(
 	context.Context, *connect.Request[cairnbayv1.InspectWorkflowRequest],
 ) (*connect.Response[cairnbayv1.InspectWorkflowResponse], error) {
-	return connect.NewResponse(&cairnbayv1.InspectWorkflowResponse{Owner: true, State: uint32(o.state)}), nil
+	return connect.NewResponse(&cairnbayv1.InspectWorkflowResponse{Owner: true, State: o.state.Load()}), nil
 }
 
 func (o *owner) Cancel(
 	context.Context, *connect.Request[cairnbayv1.CancelWorkflowRequest],
 ) (*connect.Response[cairnbayv1.CancelWorkflowResponse], error) {
-	return connect.NewResponse(&cairnbayv1.CancelWorkflowResponse{Owner: true, Found: o.found, Stored: o.stored}), nil
+	return connect.NewResponse(&cairnbayv1.CancelWorkflowResponse{Owner: true, Found: o.found.Load(), Stored: o.stored.Load()}), nil
 }
 
 func (o *owner) Length(
@@ -97,7 +99,8 @@
 		handler     *gate.Gate
 	)
 	BeforeEach(func() {
-		remoteOwner = &owner{verdict: cairnbayv1.SubmitVerdict_SUBMIT_VERDICT_ACCEPTED}
+		remoteOwner = &owner{}
+		remoteOwner.verdict.Store(int32(cairnbayv1.SubmitVerdict_SUBMIT_VERDICT_ACCEPTED))
 		mux := http.NewServeMux()
 		mux.Handle(cairnbayv1connect.NewRelayHandler(remoteOwner))
 		server := httptest.NewServer(mux)
@@ -153,7 +156,7 @@
 	})
 
 	It("forwards refusals with 503 and the time to retry after", func() {
-		remoteOwner.verdict = cairnbayv1.SubmitVerdict_SUBMIT_VERDICT_REFUSED
+		remoteOwner.verdict.Store(int32(cairnbayv1.SubmitVerdict_SUBMIT_VERDICT_REFUSED))
 		response := send(http.MethodPost, "/j", "{}")
 		Expect(response.Code).To(Equal(http.StatusServiceUnavailable))
 		Expect(response.Header().Get("Retry-After")).To(Equal("2"))
@@ -167,12 +170,12 @@
 
 	It("does not refuse a submission that may have been accepted", func() {
 		remoteOwner.dropResponses.Store(1)
-		remoteOwner.verdict = cairnbayv1.SubmitVerdict_SUBMIT_VERDICT_REFUSED
+		remoteOwner.verdict.Store(int32(cairnbayv1.SubmitVerdict_SUBMIT_VERDICT_REFUSED))
 		Expect(send(http.MethodPost, "/j", "{}").Code).To(Equal(http.StatusGatewayTimeout))
 	})
 
 	It("responds with 504 if the owner does not know whether the job was stored", func() {
-		remoteOwner.verdict = cairnbayv1.SubmitVerdict_SUBMIT_VERDICT_UNCERTAIN
+		remoteOwner.verdict.Store(int32(cairnbayv1.SubmitVerdict_SUBMIT_VERDICT_UNCERTAIN))
 		Expect(send(http.MethodPost, "/j", "{}").Code).To(Equal(http.StatusGatewayTimeout))
 	})
 
@@ -209,17 +212,17 @@
 	})
 
 	It("responds with the job's state, or with 410 if no owner has the job", func() {
-		remoteOwner.state = cairnbay.WorkflowRunning
+		remoteOwner.state.Store(uint32(cairnbay.WorkflowRunning))
 		Expect(send(http.MethodGet, "/j", "").Body.String()).To(Equal(`"running"`))
-		remoteOwner.state = cairnbay.WorkflowUnknown
+		remoteOwner.state.Store(uint32(cairnbay.WorkflowUnknown))
 		Expect(send(http.MethodGet, "/j", "").Code).To(Equal(http.StatusGone))
 	})
 
 	It("confirms a cancellation only after it is stored", func() {
 		Expect(send(http.MethodDelete, "/j", "").Code).To(Equal(http.StatusGone))
-		remoteOwner.found = true
+		remoteOwner.found.Store(true)
 		Expect(send(http.MethodDelete, "/j", "").Code).To(Equal(http.StatusGatewayTimeout))
-		remoteOwner.stored = true
+		remoteOwner.stored.Store(true)
 		Expect(send(http.MethodDelete, "/j", "").Code).To(Equal(http.StatusOK))
 	})
 })
