--- a/internal/process/drive/bench_test.go
+++ b/internal/process/drive/bench_test.go
@@ -130,7 +130,7 @@
 	}
 	owner := drive.New(drive.Config{
 		Claim: tenure.Claim{
-			Class: class, Token: uint64(revision), Generation: 1, ClaimedAt: timer.Boot(),
+			Shard: class, Token: uint64(revision), Generation: 1, ClaimedAt: timer.Boot(),
 			Fence: cairnbay.Expectation{Key: "generation", Revision: revision},
 		},
 		Store: backend, Agent: platform.NewAgent(&net.Dialer{}, time.Minute), Clock: clock, BootTime: timer.Boot, Log: logger.WithField("bench", true),
--- a/internal/process/drive/drive.go
+++ b/internal/process/drive/drive.go
@@ -1,4 +1,4 @@
-// Package drive runs a worker class that this instance owns: it executes the
+// Package drive runs a shard of a worker class that this instance owns: it executes the
 // decisions of package sched, renews the leases of the workers, writes the
 // journal and answers submissions.
 package drive
@@ -53,7 +53,7 @@
 	OnFenced func()
 }
 
-// Drive is the running owner of one worker class: it plans, sends orders to the
+// Drive is the running owner of one shard: it plans, sends orders to the
 // workers, renews their leases and writes the journal, until it is closed or a
 // worker reports a newer owner.
 type Drive struct {
@@ -125,26 +125,26 @@
 	attemptsPerOwner = 1000
 )
 
-// New starts to run the class of a claim.
+// New starts to run the shard of a claim.
 func New(config Config) *Drive {
 	ctx, cancel := context.WithCancel(context.Background())
-	config.Log = config.Log.WithField("class", config.Claim.Class)
+	config.Log = config.Log.WithField("shard", config.Claim.Shard)
 	config.Sched.AttemptBase = int(config.Claim.Generation-1) * attemptsPerOwner
 	d := &Drive{
 		config: config, ctx: ctx, cancel: cancel, planDue: make(chan struct{}, 1),
 		core: sched.New(config.Sched), links: make(map[string]*link),
 		listed: make(map[string]cairnbay.WorkerEntry), pending: make(map[string]*submission), recordsStored: make(chan struct{}),
-		inherited: make(map[string]struct{}), meters: newMeters(config.Metrics, config.Claim.Class),
+		inherited: make(map[string]struct{}), meters: newMeters(config.Metrics, config.Claim.Shard),
 	}
 	d.writer = record.New(record.Config{
-		Store: config.Store, Commit: config.Store.Commit, Class: config.Claim.Class,
+		Store: config.Store, Commit: config.Store.Commit, Shard: config.Claim.Shard,
 		Generation: config.Claim.Generation, Fence: config.Claim.Fence, Log: config.Log,
 	})
 	d.done.Go(d.run)
 	return d
 }
 
-// Close stops running the class. Tasks on workers run on until their lease ends
+// Close stops running the shard. Tasks on workers run on until their lease ends
 // or the next owner takes them over.
 func (d *Drive) Close() {
 	d.cancel()
@@ -200,7 +200,7 @@
 func (d *Drive) load() bool {
 	for timeout := minLoadTimeout; ; timeout = min(2*timeout, maxLoadTimeout) {
 		ctx, cancel := context.WithTimeout(d.ctx, timeout)
-		journal, err := record.Load(ctx, d.config.Store, d.config.Claim.Class)
+		journal, err := record.Load(ctx, d.config.Store, d.config.Claim.Shard)
 		cancel()
 		if err == nil {
 			d.writer.AddSegments(journal.SegmentKeys, journal.Bytes)
@@ -233,7 +233,7 @@
 		case rec.GetFailed() != nil:
 			d.core.Replay(now, decodeRecord(sched.RecordFailed, rec.GetFailed()))
 		case rec.GetWorker() != nil:
-			workers[rec.GetWorker().GetId()] = decodeWorker(d.config.Claim.Class, rec.GetWorker())
+			workers[rec.GetWorker().GetId()] = decodeWorker(rec.GetWorker())
 		case rec.GetReleased() != "":
 			delete(workers, rec.GetReleased())
 		case rec.GetSettled() > 0:
@@ -273,7 +273,7 @@
 	d.requestPlan()
 }
 
-// SetWorkers replaces the list of the class's workers. Unlisted workers get no
+// SetWorkers replaces the list of the shard's workers. Unlisted workers get no
 // new tasks.
 func (d *Drive) SetWorkers(entries []cairnbay.WorkerEntry) {
 	d.mu.Lock()
@@ -386,7 +386,7 @@
 	d.execute(actions)
 }
 
-// Counts returns the numbers of jobs, tasks and workers of the class.
+// Counts returns the numbers of jobs, tasks and workers of the shard.
 func (d *Drive) Counts() sched.Counts {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/process/drive/encode.go
+++ b/internal/process/drive/encode.go
@@ -123,9 +123,9 @@
 	}
 }
 
-func decodeWorker(class string, ref *cairnbayv1.WorkerRef) cairnbay.WorkerEntry {
+func decodeWorker(ref *cairnbayv1.WorkerRef) cairnbay.WorkerEntry {
 	return cairnbay.WorkerEntry{
-		ID: ref.GetId(), Class: class, Address: ref.GetAddress(), Rack: ref.GetRack(), Labels: ref.GetLabels(), Draining: ref.GetDraining(),
+		ID: ref.GetId(), Address: ref.GetAddress(), Rack: ref.GetRack(), Labels: ref.GetLabels(), Draining: ref.GetDraining(),
 		Capacity: cairnbay.Resources{
 			MilliCPU: ref.GetMilliCpu(), MemoryMB: ref.GetMemoryMb(), Accelerators: ref.GetAccelerators(),
 		},
--- a/internal/process/drive/meters.go
+++ b/internal/process/drive/meters.go
@@ -9,30 +9,30 @@
 	"cairnbay"
 )
 
-// meters are the metrics of one class.
+// meters are the metrics of one shard.
 type meters struct {
 	set          *metrics.Set
-	class        string
+	shard        string
 	attemptsLost *metrics.Counter
 	// startWait is the time from the acceptance of a job to the result of a start
 	// order for one of its tasks, failed ones included, in seconds.
 	startWait *metrics.Histogram
 }
 
-func newMeters(set *metrics.Set, class string) meters {
+func newMeters(set *metrics.Set, shard string) meters {
 	if set == nil {
 		set = metrics.NewSet()
 	}
-	m := meters{set: set, class: class}
+	m := meters{set: set, shard: shard}
 	m.attemptsLost = m.counter("cairnbay_attempts_lost_total", "")
-	m.startWait = set.GetOrCreateHistogram(fmt.Sprintf("cairnbay_start_wait_seconds{class=%q}", class))
+	m.startWait = set.GetOrCreateHistogram(fmt.Sprintf("cairnbay_start_wait_seconds{shard=%q}", shard))
 	return m
 }
 
-// counter returns the counter of the class with the given additional labels,
+// counter returns the counter of the shard with the given additional labels,
 // written as `,name="value"`.
 func (m meters) counter(name, labels string) *metrics.Counter {
-	return m.set.GetOrCreateCounter(fmt.Sprintf("%s{class=%q%s}", name, m.class, labels))
+	return m.set.GetOrCreateCounter(fmt.Sprintf("%s{shard=%q%s}", name, m.shard, labels))
 }
 
 func (m meters) attemptEnded(reason cairnbay.AgentEndReason) {
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -1,14 +1,13 @@
 // Package node assembles an instance that schedules workflows on a platform: the
 // HTTP interface for callers (gate), the calls between instances (relay), the
-// election of an owner per worker class (tenure), and the scheduler of each class
-// that the instance owns (drive).
+// election of an owner per shard of a worker class (tenure), and the scheduler of
+// each shard that the instance owns (drive).
 package node
 
 import (
 	"context"
 	"net"
 	"net/http"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -106,12 +105,15 @@
 	stopProbes func()
 	background sync.WaitGroup
 
-	mu           sync.Mutex
-	ownedClasses map[string]*ownedClass
+	mu sync.Mutex
+	// census is what this instance has seen of the workers of undivided classes.
+	census census
+	// ownedShards are the shards that this instance owns, by name.
+	ownedShards map[string]*ownedShard
 }
 
-// ownedClass is a worker class that this instance owns.
-type ownedClass struct {
+// ownedShard is a shard that this instance owns.
+type ownedShard struct {
 	drive   *drive.Drive
 	workers *workerList
 }
@@ -152,7 +154,7 @@
 
 // New starts an instance. It fails if an address cannot be listened on.
 func New(config Config) (*Node, error) {
-	n := &Node{config: config, directStore: config.Platform.Store, ownedClasses: make(map[string]*ownedClass)}
+	n := &Node{config: config, directStore: config.Platform.Store, ownedShards: make(map[string]*ownedShard)}
 	n.relay = relay.New(relay.Config{
 		Client: config.MemberClient, Drive: n.drive, Advisor: config.Platform.Advisor,
 		Store: func(ctx context.Context, call *cairnbayv1.StoreCall) *cairnbayv1.StoreAnswer {
@@ -173,7 +175,7 @@
 		Store: config.Platform.Store, Log: config.Log, Clock: config.Clock, BootTime: timer.Boot,
 		Instance: config.Instance, Address: config.MemberAddress, DataCentre: config.DataCentre,
 		Cores: config.Cores, LinkMbps: config.LinkMbps, LeaseTTL: config.StoreLease, WatchStallTimeout: config.WatchStallTimeout,
-		Classes: n.classes, OnAcquired: n.acquire, OnLost: n.release,
+		Classes: n.classes, Divide: n.divide, OnAcquired: n.acquire, OnLost: n.release,
 	})
 	n.publishedTenure.Store(n.tenure)
 	n.gate = gate.New(gate.Config{
@@ -294,7 +296,7 @@
 	}
 }
 
-// classes returns the classes that need an owner.
+// classes returns the classes that need owners.
 func (n *Node) classes() []string {
 	routing := n.routing.Load()
 	if routing == nil {
@@ -303,14 +305,6 @@
 	return routing.ServingClasses()
 }
 
-// oddClass reports whether the class has an odd index among the sorted classes.
-// The owners of odd classes choose instances of the advice pool in reverse order,
-// so that two owners rarely choose the same instance.
-func (n *Node) oddClass(class string) bool {
-	classes := slices.Sorted(slices.Values(n.classes()))
-	return slices.Index(classes, class)%2 == 1
-}
-
 // addresses returns the addresses of the live instances by name.
 func (n *Node) addresses() map[string]string {
 	addresses := make(map[string]string)
@@ -334,57 +328,57 @@
 	return addresses
 }
 
-// drive returns the drive of a class that this instance owns, or nil.
-func (n *Node) drive(class string) *drive.Drive {
+// drive returns the drive of a shard that this instance owns, or nil.
+func (n *Node) drive(shard string) *drive.Drive {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if owned := n.ownedClasses[class]; owned != nil {
+	if owned := n.ownedShards[shard]; owned != nil {
 		return owned.drive
 	}
 	return nil
 }
 
-// acquire starts the drive of a class that this instance has claimed.
+// acquire starts the drive of a shard that this instance has claimed.
 func (n *Node) acquire(claim tenure.Claim) {
 	advise := func(ctx context.Context, action *sched.AdviseAction) ([]cairnbay.Ticket, error) {
-		return n.advicePool.Advise(ctx, action, n.oddClass(claim.Class))
+		return n.advicePool.Advise(ctx, action, n.position(claim.Shard))
 	}
-	classDrive := drive.New(drive.Config{
+	shardDrive := drive.New(drive.Config{
 		Claim: claim, Store: n.config.Platform.Store, Agent: n.config.Platform.Agent,
-		Advise: advise, AdviceLimits: n.advicePool.Limits,
+		Advise: advise, AdviceLimits: func() (int, int) { return n.advicePool.Limits(n.position(claim.Shard)) },
 		Clock: n.config.Clock, BootTime: timer.Boot, Log: n.config.Log, Metrics: n.config.Metrics,
 		Sched: n.config.Sched, Lease: n.config.Lease, EntryTTL: n.config.EntryTTL, MaxSegments: maxSegments, MaxGrowth: maxGrowth,
-		OnFenced: func() { n.background.Go(func() { n.tenure.Abandon(claim.Class) }) },
+		OnFenced: func() { n.background.Go(func() { n.tenure.Abandon(claim.Shard) }) },
 	})
-	acquired := &ownedClass{drive: classDrive, workers: newWorkerList(n, claim.Class, classDrive)}
+	acquired := &ownedShard{drive: shardDrive, workers: newWorkerList(n, claim.Shard, shardDrive)}
 	n.mu.Lock()
-	previous := n.ownedClasses[claim.Class]
-	n.ownedClasses[claim.Class] = acquired
+	previous := n.ownedShards[claim.Shard]
+	n.ownedShards[claim.Shard] = acquired
 	n.mu.Unlock()
 	if previous != nil {
 		n.background.Go(previous.close)
 	}
 }
 
-// release closes the drive of a class that this instance no longer owns.
-func (n *Node) release(class string) {
+// release closes the drive of a shard that this instance no longer owns.
+func (n *Node) release(shard string) {
 	n.mu.Lock()
-	owned := n.ownedClasses[class]
-	delete(n.ownedClasses, class)
+	owned := n.ownedShards[shard]
+	delete(n.ownedShards, shard)
 	n.mu.Unlock()
 	if owned != nil {
-		n.config.Log.WithField("class", class).Info("class given up")
+		n.config.Log.WithField("shard", shard).Info("shard given up")
 		n.background.Go(owned.close)
 	}
 }
 
-func (o *ownedClass) close() {
+func (o *ownedShard) close() {
 	o.workers.close()
 	o.drive.Close()
 }
 
 // Stop shuts the instance down gracefully. It writes the journals, gives up the
-// owned classes, keeps serving for drainDuration in total, and then waits for
+// owned shards, keeps serving for drainDuration in total, and then waits for
 // requests in flight until exitMargin before the end of the grace period.
 func (n *Node) Stop() {
 	startedAt := time.Now()
@@ -406,8 +400,8 @@
 	n.config.Log.WithField("took_ms", time.Since(startedAt).Milliseconds()).Info("stopped")
 }
 
-// flushAndResign writes the pending journal records and gives up all classes.
-// While the store is unavailable no other instance can claim the classes, so the
+// flushAndResign writes the pending journal records and gives up all shards.
+// While the store is unavailable no other instance can claim the shards, so the
 // write is retried until resignMargin before the end of the grace period.
 func (n *Node) flushAndResign(startedAt time.Time) {
 	for {
@@ -425,18 +419,18 @@
 	n.tenure.Resign(ctx)
 }
 
-// flush writes the journals of all owned classes. A fenced class is skipped, as
+// flush writes the journals of all owned shards. A fenced shard is skipped, as
 // its new owner writes the journal.
 func (n *Node) flush() error {
 	ctx, cancel := context.WithTimeout(context.Background(), flushTimeout)
 	defer cancel()
 	n.mu.Lock()
-	classes := make([]*ownedClass, 0, len(n.ownedClasses))
-	for _, owned := range n.ownedClasses {
-		classes = append(classes, owned)
+	shards := make([]*ownedShard, 0, len(n.ownedShards))
+	for _, owned := range n.ownedShards {
+		shards = append(shards, owned)
 	}
 	n.mu.Unlock()
-	for _, owned := range classes {
+	for _, owned := range shards {
 		if err := owned.drive.Flush(ctx); err != nil && !errors.Is(err, cairnbay.ErrFenced) {
 			return errors.Trace(err)
 		}
--- a/internal/process/node/workerlist.go
+++ b/internal/process/node/workerlist.go
@@ -9,11 +9,11 @@
 	"cairnbay/internal/process/mirror"
 )
 
-// workerList reads the entries of a class's workers from the store and passes them
-// to the drive of the class.
+// workerList reads the entries of a shard's workers from the store and passes them
+// to the drive of the shard.
 type workerList struct {
 	node   *Node
-	class  string
+	shard  string
 	drive  *drive.Drive
 	mirror *mirror.Mirror
 	cancel func()
@@ -40,9 +40,9 @@
 	expiryPeriod = 500 * time.Millisecond
 )
 
-func newWorkerList(node *Node, class string, classDrive *drive.Drive) *workerList {
+func newWorkerList(node *Node, shard string, shardDrive *drive.Drive) *workerList {
 	w := &workerList{
-		node: node, class: class, drive: classDrive,
+		node: node, shard: shard, drive: shardDrive,
 		entries: make(map[string]cairnbay.WorkerEntry), missing: make(map[string]time.Duration),
 	}
 	w.mirror = mirror.New(mirror.Config{
@@ -76,7 +76,8 @@
 			w.node.config.Log.WithError(err).Warn("invalid worker entry ignored")
 			continue
 		}
-		if entry.Class != w.class {
+		divided, ok := w.node.layout(entry.Class)
+		if !ok || divided.ShardOfWorker(&entry) != w.shard {
 			delete(w.entries, key)
 			continue
 		}
--- a/internal/process/record/journal.go
+++ b/internal/process/record/journal.go
@@ -10,12 +10,12 @@
 	cairnbayv1 "cairnbay/gen/cairnbay/v1"
 )
 
-// Prefix returns the prefix of the store keys of a class's journal.
-func Prefix(class string) string {
-	return "cairnbay/journal/" + class + "/"
+// Prefix returns the prefix of the store keys of a shard's journal.
+func Prefix(shard string) string {
+	return "cairnbay/journal/" + shard + "/"
 }
 
-// Journal is the stored journal of a class.
+// Journal is the stored journal of a shard.
 type Journal struct {
 	// Records are, oldest first, those of the last complete rewrite and all later
 	// ones; all records if there was no rewrite.
@@ -27,12 +27,12 @@
 	Bytes int
 }
 
-// Load reads the whole journal of a class. It returns the store's error, or that
+// Load reads the whole journal of a shard. It returns the store's error, or that
 // of a segment that cannot be decoded.
-func Load(ctx context.Context, store cairnbay.Store, class string) (Journal, error) {
-	listing, err := store.List(ctx, Prefix(class))
+func Load(ctx context.Context, store cairnbay.Store, shard string) (Journal, error) {
+	listing, err := store.List(ctx, Prefix(shard))
 	if err != nil {
-		return Journal{}, jujuerrors.Annotatef(err, "journal of %s", class)
+		return Journal{}, jujuerrors.Annotatef(err, "journal of %s", shard)
 	}
 	var journal Journal
 	segments := make([]*cairnbayv1.WorkSegment, 0, len(listing.Entries))
--- a/internal/process/record/load_test.go
+++ b/internal/process/record/load_test.go
@@ -60,7 +60,7 @@
 	)
 	open := func(generation uint64) *record.Writer {
 		writer := record.New(record.Config{
-			Store: delayed, Commit: delayed.Commit, Class: "c", Generation: generation, Fence: fence, Log: discardLog(),
+			Store: delayed, Commit: delayed.Commit, Shard: "c", Generation: generation, Fence: fence, Log: discardLog(),
 		})
 		DeferCleanup(writer.Close)
 		return writer
--- a/internal/process/record/record_test.go
+++ b/internal/process/record/record_test.go
@@ -33,7 +33,7 @@
 
 const fenceKey = "generation"
 
-var _ = Describe("the journal of a class", func() {
+var _ = Describe("the journal of a shard", func() {
 	var (
 		fakeStore *store.Store
 		fence     cairnbay.Expectation
@@ -41,7 +41,7 @@
 	)
 	open := func(generation uint64) *record.Writer {
 		return record.New(record.Config{
-			Store: fakeStore, Commit: fakeStore.Commit, Class: "c", Generation: generation, Fence: fence, Log: discardLog(),
+			Store: fakeStore, Commit: fakeStore.Commit, Shard: "c", Generation: generation, Fence: fence, Log: discardLog(),
 		})
 	}
 	BeforeEach(func() {
--- a/internal/process/record/try.go
+++ b/internal/process/record/try.go
@@ -55,7 +55,7 @@
 			if ended.err == nil {
 				w.observeLatency(ended.latency)
 				if tries > 1 {
-					w.config.Log.WithFields(logrus.Fields{"class": w.config.Class, "tries": tries}).Info("journal regained")
+					w.config.Log.WithFields(logrus.Fields{"shard": w.config.Shard, "tries": tries}).Info("journal regained")
 				}
 				return nil
 			}
@@ -63,7 +63,7 @@
 				return ended.err
 			}
 			if pause == minRetryPause {
-				w.config.Log.WithError(ended.err).WithField("class", w.config.Class).Warn("journal write failed")
+				w.config.Log.WithError(ended.err).WithField("shard", w.config.Shard).Warn("journal write failed")
 			}
 			refusedOnly = refusedOnly && (errors.Is(ended.err, cairnbay.ErrUnavailable) || errors.Is(ended.err, cairnbay.ErrRateLimited))
 			if refusedOnly && unanswered == 0 && tries >= withdrawAfter {
@@ -105,7 +105,7 @@
 	if !errors.Is(err, cairnbay.ErrConflict) {
 		return time.Since(startedAt), err
 	}
-	fenced := jujuerrors.Annotatef(cairnbay.ErrFenced, "journal of %s", w.config.Class)
+	fenced := jujuerrors.Annotatef(cairnbay.ErrFenced, "journal of %s", w.config.Shard)
 	if len(batch.Puts) == 0 {
 		return 0, fenced
 	}
--- a/internal/process/record/write.go
+++ b/internal/process/record/write.go
@@ -32,7 +32,7 @@
 
 func (w *Writer) nextKey() string {
 	w.sequence++
-	return fmt.Sprintf("%s%08x-%08x", Prefix(w.config.Class), w.config.Generation, w.sequence)
+	return fmt.Sprintf("%s%08x-%08x", Prefix(w.config.Shard), w.config.Generation, w.sequence)
 }
 
 // startWrite starts the next write. The channel is closed when it is finished.
--- a/internal/process/record/writer.go
+++ b/internal/process/record/writer.go
@@ -1,4 +1,4 @@
-// Package record stores the journal of a worker class: segments of records in
+// Package record stores the journal of a shard: segments of records in
 // the store, written only while the writer belongs to the newest owner.
 package record
 
@@ -22,7 +22,7 @@
 	Store cairnbay.Store
 	// Commit writes a batch, as cairnbay.BatchStore does.
 	Commit     func(ctx context.Context, batch cairnbay.Batch) (cairnbay.Revision, error)
-	Class      string
+	Shard      string
 	Generation uint64
 	// Fence is the store key that every new owner writes, and the revision at which
 	// this owner wrote it. Each journal write expects that revision.
--- a/internal/process/relay/advise.go
+++ b/internal/process/relay/advise.go
@@ -52,13 +52,31 @@
 	return &AdvicePool{relay: relay, self: self, peers: peers, freeAt: make(map[string]time.Time)}
 }
 
+// Position is the place of a shard among all shards. Owners cannot see each other's
+// calls, so each starts its choice of instances at a place of its own.
+type Position struct {
+	Index, Shards int
+}
+
+// order arranges the names of the instances for a shard: those with an odd index go
+// through them backwards, and each pair starts at another place.
+func (p Position) order(names []string) []string {
+	if len(names) == 0 {
+		return names
+	}
+	pairs := max((p.Shards+1)/2, 1)
+	start := p.Index / 2 * len(names) / pairs % len(names)
+	if p.Index%2 == 1 {
+		slices.Reverse(names)
+	}
+	return slices.Concat(names[start:], names[:start])
+}
+
 // Advise calls the policy service from the instance that is free first. Of several
-// free instances it takes the first in the order of instancesFor, or the last if
-// backwards is set: owners that start at opposite ends seldom take the same
-// instance. Errors: cairnbay.ErrUnavailable for every failure, the end of ctx
-// included.
-func (p *AdvicePool) Advise(ctx context.Context, action *sched.AdviseAction, backwards bool) ([]cairnbay.Ticket, error) {
-	name, address := p.reserve(action.ExpectedDuration, backwards)
+// free instances it takes the first in the order of the shard's position. Errors:
+// cairnbay.ErrUnavailable for every failure, the end of ctx included.
+func (p *AdvicePool) Advise(ctx context.Context, action *sched.AdviseAction, position Position) ([]cairnbay.Ticket, error) {
+	name, address := p.reserve(action.ExpectedDuration, position)
 	tickets, err := p.call(ctx, name, address, action)
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -71,15 +89,12 @@
 
 // reserve selects the instance that is free first and adds the duration of the
 // call to its expected end.
-func (p *AdvicePool) reserve(duration time.Duration, backwards bool) (name, address string) {
+func (p *AdvicePool) reserve(duration time.Duration, position Position) (name, address string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
 	peers := p.peers()
-	names := instancesFor(peers, duration <= sched.MaxShortAdvice)
-	if backwards {
-		slices.Reverse(names)
-	}
+	names := position.order(instancesFor(peers, duration <= sched.MaxShortAdvice))
 	var earliest time.Time
 	for _, peer := range names {
 		freeAt := p.freeAt[peer]
@@ -97,10 +112,12 @@
 	return name, peers[name]
 }
 
-// Limits returns the numbers of instances that serve short and long calls.
-func (p *AdvicePool) Limits() (short, long int) {
+// Limits returns the numbers of instances that serve short and long calls of a shard.
+// Two owners each count on all of them, more owners share what two count on.
+func (p *AdvicePool) Limits(position Position) (short, long int) {
 	peers := p.peers()
-	return len(instancesFor(peers, true)), len(instancesFor(peers, false))
+	pairs := max((position.Shards+1)/2, 1)
+	return max(len(instancesFor(peers, true))/pairs, 1), max(len(instancesFor(peers, false))/pairs, 1)
 }
 
 // instancesFor returns the names of the instances that serve short or long calls,
--- a/internal/process/relay/relay.go
+++ b/internal/process/relay/relay.go
@@ -1,5 +1,4 @@
-// Package relay forwards callers' requests to the instance that owns a worker
-// class, calls to the policy service to instances that are free for them, and
+// Package relay forwards callers' requests to the instance that owns a shard, calls to the policy service to instances that are free for them, and
 // calls to the store to instances that reach it.
 package relay
 
@@ -22,8 +21,8 @@
 type Config struct {
 	// Client makes calls to other instances.
 	Client *http.Client
-	// Drive returns the drive of a class, or nil if this instance does not own it.
-	Drive func(class string) *drive.Drive
+	// Drive returns the drive of a shard, or nil if this instance does not own it.
+	Drive func(shard string) *drive.Drive
 	// Advisor calls the policy service from this instance; nil if there is none.
 	Advisor cairnbay.Advisor
 	// Store makes a store call for an instance that cannot reach the store; nil
@@ -69,7 +68,7 @@
 	ctx context.Context, request *connect.Request[cairnbayv1.SubmitWorkflowRequest],
 ) (*connect.Response[cairnbayv1.SubmitWorkflowResponse], error) {
 	workflow := drive.DecodeWorkflow(request.Msg.GetWorkflow())
-	owner := r.config.Drive(workflow.Class)
+	owner := r.config.Drive(request.Msg.GetShard())
 	if owner == nil {
 		return connect.NewResponse(&cairnbayv1.SubmitWorkflowResponse{
 			Verdict: cairnbayv1.SubmitVerdict_SUBMIT_VERDICT_NOT_OWNER,
@@ -86,7 +85,7 @@
 	ctx context.Context, request *connect.Request[cairnbayv1.InspectWorkflowRequest],
 ) (*connect.Response[cairnbayv1.InspectWorkflowResponse], error) {
 	response := &cairnbayv1.InspectWorkflowResponse{}
-	if owner := r.config.Drive(request.Msg.GetClass()); owner != nil {
+	if owner := r.config.Drive(request.Msg.GetShard()); owner != nil {
 		state, isOwner := owner.Inspect(ctx, request.Msg.GetId())
 		response.Owner, response.State = isOwner, uint32(state)
 	}
@@ -98,7 +97,7 @@
 	ctx context.Context, request *connect.Request[cairnbayv1.CancelWorkflowRequest],
 ) (*connect.Response[cairnbayv1.CancelWorkflowResponse], error) {
 	response := &cairnbayv1.CancelWorkflowResponse{}
-	if owner := r.config.Drive(request.Msg.GetClass()); owner != nil {
+	if owner := r.config.Drive(request.Msg.GetShard()); owner != nil {
 		err := owner.Cancel(ctx, request.Msg.GetId())
 		response.Owner = !errors.Is(err, cairnbay.ErrNotOwner)
 		response.Found = !errors.Is(err, cairnbay.ErrNotFound)
@@ -112,7 +111,7 @@
 	_ context.Context, request *connect.Request[cairnbayv1.LengthRequest],
 ) (*connect.Response[cairnbayv1.LengthResponse], error) {
 	response := &cairnbayv1.LengthResponse{}
-	if owner := r.config.Drive(request.Msg.GetClass()); owner != nil {
+	if owner := r.config.Drive(request.Msg.GetShard()); owner != nil {
 		waiting, isOwner := owner.Length(request.Msg.GetQueue())
 		response.Owner, response.Waiting = isOwner, int64(waiting)
 	}
--- a/internal/process/relay/relay_test.go
+++ b/internal/process/relay/relay_test.go
@@ -75,10 +75,10 @@
 		ownRelay := relay.New(relay.Config{Drive: noDrive, Advisor: advisors["n0"], Client: httptest.NewServer(nil).Client()})
 		pool = relay.NewAdvicePool(ownRelay, "n0", func() map[string]string { return peers })
 	})
-	advise := func(duration time.Duration, backwards bool) error {
+	advise := func(duration time.Duration, position relay.Position) error {
 		_, err := pool.Advise(context.Background(), &sched.AdviseAction{
 			Step: cairnbay.WorkflowTask{Job: "j"}, Workers: []string{"w"}, ExpectedDuration: duration,
-		}, backwards)
+		}, position)
 		return err
 	}
 	calledInstances := func() (names []string) {
@@ -91,14 +91,14 @@
 	}
 
 	It("are spread over the instances, some of which are reserved for short calls", func() {
-		short, long := pool.Limits()
+		short, long := pool.Limits(relay.Position{Shards: 2})
 		Expect([]int{short, long}).To(Equal([]int{2, 4}))
 		for range 8 {
-			Expect(advise(300*time.Millisecond, false)).To(Succeed())
+			Expect(advise(300*time.Millisecond, relay.Position{Shards: 2})).To(Succeed())
 		}
 		Expect(calledInstances()).To(HaveLen(4))
 		for range 4 {
-			Expect(advise(20*time.Millisecond, false)).To(Succeed())
+			Expect(advise(20*time.Millisecond, relay.Position{Shards: 2})).To(Succeed())
 		}
 		Expect(calledInstances()).To(HaveLen(6))
 	})
@@ -110,7 +110,7 @@
 				splitPeers[fmt.Sprintf("n%d", i)] = "address"
 			}
 			splitPool := relay.NewAdvicePool(relay.New(relay.Config{Drive: noDrive}), "n0", func() map[string]string { return splitPeers })
-			gotShort, gotLong := splitPool.Limits()
+			gotShort, gotLong := splitPool.Limits(relay.Position{Shards: 2})
 			Expect([]int{gotShort, gotLong}).To(Equal([]int{short, long}))
 		},
 		Entry("one instance serves both", 1, 1, 1),
@@ -123,9 +123,9 @@
 	)
 
 	It("of two owners are made from different ends of the list of instances", func() {
-		Expect(advise(300*time.Millisecond, false)).To(Succeed())
+		Expect(advise(300*time.Millisecond, relay.Position{Shards: 2})).To(Succeed())
 		first := calledInstances()
-		Expect(advise(300*time.Millisecond, true)).To(Succeed())
+		Expect(advise(300*time.Millisecond, relay.Position{Index: 1, Shards: 2})).To(Succeed())
 		Expect(calledInstances()).To(HaveLen(len(first) + 1))
 	})
 
@@ -133,14 +133,14 @@
 		for _, advisor := range advisors {
 			advisor.fails = true
 		}
-		Expect(advise(300*time.Millisecond, false)).NotTo(Succeed())
+		Expect(advise(300*time.Millisecond, relay.Position{Shards: 2})).NotTo(Succeed())
 		failed := calledInstances()
 		Expect(failed).To(HaveLen(1))
 		for name, advisor := range advisors {
 			advisor.fails = name == failed[0]
 		}
 		for range 6 {
-			Expect(advise(time.Millisecond+150*time.Millisecond, false)).To(Succeed())
+			Expect(advise(time.Millisecond+150*time.Millisecond, relay.Position{Shards: 2})).To(Succeed())
 		}
 		Expect(advisors[failed[0]].count()).To(Equal(1))
 	})
--- a/internal/process/tenure/claim.go
+++ b/internal/process/tenure/claim.go
@@ -25,8 +25,8 @@
 	_, registered := t.nodes[t.config.Instance]
 	lease, stopping := t.lease, t.stopping
 	var missing []Claim
-	for class, claim := range t.claims {
-		if _, hasOwner := t.owners[class]; !hasOwner && t.config.BootTime()-claim.ClaimedAt > settleTime {
+	for shard, claim := range t.claims {
+		if _, hasOwner := t.owners[shard]; !hasOwner && t.config.BootTime()-claim.ClaimedAt > settleTime {
 			missing = append(missing, claim)
 		}
 	}
@@ -40,24 +40,24 @@
 		t.register(ctx, lease)
 	}
 	for _, claim := range missing {
-		revision, err := t.putOwner(ctx, lease, claim.Class, 0, claim.Generation, claim.Fence, false)
+		revision, err := t.putOwner(ctx, lease, claim.Shard, 0, claim.Generation, claim.Fence, false)
 		if err != nil {
-			t.config.Log.WithError(err).WithField("class", claim.Class).Warn("owner key not restored")
+			t.config.Log.WithError(err).WithField("shard", claim.Shard).Warn("owner key not restored")
 			continue
 		}
 		t.mu.Lock()
-		t.setOwner(claim.Class, Owner{t.config.Instance, t.config.Address, claim.Generation, revision})
+		t.setOwner(claim.Shard, Owner{t.config.Instance, t.config.Address, claim.Generation, revision})
 		t.mu.Unlock()
 	}
 }
 
-// putOwner writes the owner key of a class with the given generation, and the
+// putOwner writes the owner key of a shard with the given generation, and the
 // generation key as well if writeGeneration is set. Errors: cairnbay.ErrConflict
-// if the owner key is not at revision expected, 0 for a class without an owner,
+// if the owner key is not at revision expected, 0 for a shard without an owner,
 // or the generation key does not match fence; cairnbay.ErrUnknown if the write was
 // not answered and a read does not show it; others of the store.
 func (t *Tenure) putOwner(
-	ctx context.Context, lease cairnbay.LeaseID, class string, expected cairnbay.Revision,
+	ctx context.Context, lease cairnbay.LeaseID, shard string, expected cairnbay.Revision,
 	generation uint64, fence cairnbay.Expectation, writeGeneration bool,
 ) (cairnbay.Revision, error) {
 	nonce := rand.Uint64()
@@ -67,7 +67,7 @@
 	if err != nil {
 		return 0, err
 	}
-	key := ownerPrefix + class
+	key := ownerPrefix + shard
 	batch := cairnbay.Batch{
 		Expect: []cairnbay.Expectation{{Key: key, Revision: expected}, fence},
 		Puts:   []cairnbay.Put{{Key: key, Value: value, Lease: lease}},
@@ -93,25 +93,37 @@
 	return stored.Revision, nil
 }
 
-// claimClasses claims each class that this instance may claim now.
-func (t *Tenure) claimClasses(ctx context.Context) {
+// claimShards claims each shard that this instance may claim now.
+func (t *Tenure) claimShards(ctx context.Context) {
 	if !t.mirror.Synced() {
 		return
 	}
+	for _, shard := range t.shards() {
+		if t.mayClaim(shard) {
+			t.claim(ctx, shard)
+		}
+	}
+}
+
+// shards returns the sorted names of the shards of all classes that are divided.
+func (t *Tenure) shards() (names []string) {
 	for _, class := range t.config.Classes() {
-		if t.mayClaim(class) {
-			t.claim(ctx, class)
+		if divided, ok := t.Layout(class); ok {
+			names = append(names, divided.Names()...)
 		}
 	}
+	slices.Sort(names)
+	return names
 }
 
-// mayClaim reports whether the class has no owner and this instance's delay,
+// mayClaim reports whether the shard has no owner and this instance's delay,
 // which grows with its rank, has passed.
-func (t *Tenure) mayClaim(class string) bool {
+func (t *Tenure) mayClaim(shard string) bool {
+	shards := t.shards()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	owner, hasOwner := t.owners[class]
-	_, claimed := t.claims[class]
+	owner, hasOwner := t.owners[shard]
+	_, claimed := t.claims[shard]
 	if claimed || t.stopping || t.lease == 0 {
 		return false
 	}
@@ -122,48 +134,62 @@
 		return owner.Instance == t.config.Instance
 	}
 	now := t.config.BootTime()
-	since, ok := t.claimDelayStart[class]
+	since, ok := t.claimDelayStart[shard]
 	if !ok {
 		// The first check delays the claim, so that instances that start together
 		// have read each other's keys and compute the same ranks.
-		t.claimDelayStart[class] = now + settleTime
+		t.claimDelayStart[shard] = now + settleTime
 		return false
 	}
-	return now-since >= time.Duration(t.rank(class))*rankDelay
+	return now-since >= time.Duration(t.rank(shard, shards))*rankDelay
 }
 
-// rank counts the instances that claim a class before this one: those with fewer
-// owned classes, then more cores, then more bandwidth, then a higher score. The
-// load of an owner grows with its class, whatever the resources of its instance, so
-// instances with more resources come first. The caller holds the lock.
-func (t *Tenure) rank(class string) int {
-	ownedClasses := make(map[string]int)
+// rank counts the instances that claim a shard before this one. The shards without
+// an owner that sort before it count as owned by the first instance in their line,
+// so that instances which lose several owners at once share their shards. The
+// caller holds the lock.
+func (t *Tenure) rank(shard string, shards []string) int {
+	owned := make(map[string]int)
 	for _, owner := range t.owners {
-		ownedClasses[owner.Instance]++
+		owned[owner.Instance]++
 	}
-	own := t.config
-	rank := 0
-	for _, node := range t.expectedNodes() {
-		if node.Instance == own.Instance {
-			continue
+	nodes := t.expectedNodes()
+	for _, earlier := range shards {
+		if earlier >= shard {
+			break
 		}
-		order := cmp.Or(
-			cmp.Compare(ownedClasses[node.Instance], ownedClasses[own.Instance]),
-			-cmp.Compare(node.Cores, own.Cores),
-			-cmp.Compare(node.LinkMbps, own.LinkMbps),
-			-cmp.Compare(score(class, node.Instance), score(class, own.Instance)),
-		)
-		if order < 0 {
+		if _, hasOwner := t.owners[earlier]; !hasOwner && len(nodes) > 0 {
+			first := slices.MinFunc(nodes, func(a, b Node) int { return compareClaimants(earlier, owned, a, b) })
+			owned[first.Instance]++
+		}
+	}
+	rank := 0
+	self := Node{Instance: t.config.Instance, Cores: t.config.Cores, LinkMbps: t.config.LinkMbps}
+	for _, node := range nodes {
+		if node.Instance != self.Instance && compareClaimants(shard, owned, node, self) < 0 {
 			rank++
 		}
 	}
 	return rank
 }
 
+// compareClaimants orders the instances that may claim a shard: those with fewer
+// owned shards first, then more cores, then more bandwidth, then a higher score. The
+// load of an owner grows with its shard, whatever the resources of its instance, so
+// instances with more resources come first.
+func compareClaimants(shard string, owned map[string]int, a, b Node) int {
+	return cmp.Or(
+		cmp.Compare(owned[a.Instance], owned[b.Instance]),
+		-cmp.Compare(a.Cores, b.Cores),
+		-cmp.Compare(a.LinkMbps, b.LinkMbps),
+		-cmp.Compare(score(shard, a.Instance), score(shard, b.Instance)),
+	)
+}
+
 // expectedNodes returns the live instances. If the lease of this instance has lapsed
 // of late, the store was out of reach for longer than a lease, and the instances
 // whose keys lapsed with it are included: the first to return would otherwise
-// claim every class, however few resources it has. The caller holds the lock.
+// claim every shard, however few resources it has. The caller holds the lock.
 func (t *Tenure) expectedNodes() []Node {
 	nodes := slices.Collect(maps.Values(t.nodes))
 	now := t.config.BootTime()
@@ -178,25 +204,25 @@
 	return nodes
 }
 
-// score returns the weight of an instance for a class in rendezvous hashing.
-func score(class, instance string) uint64 {
-	return xxhash.Sum64String(class + "\x00" + instance)
+// score returns the weight of an instance for a shard in rendezvous hashing.
+func score(shard, instance string) uint64 {
+	return xxhash.Sum64String(shard + "\x00" + instance)
 }
 
-// claimedBefore reports whether this process has claimed the class before.
-func (t *Tenure) claimedBefore(class string) bool {
+// claimedBefore reports whether this process has claimed the shard before.
+func (t *Tenure) claimedBefore(shard string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.everClaimed[class]
+	return t.everClaimed[shard]
 }
 
-// claim makes this instance the owner of a class under the next generation and
+// claim makes this instance the owner of a shard under the next generation and
 // calls OnAcquired; failures are logged.
-func (t *Tenure) claim(ctx context.Context, class string) {
+func (t *Tenure) claim(ctx context.Context, shard string) {
 	readCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	log := t.config.Log.WithField("class", class)
-	fence := cairnbay.Expectation{Key: generationPrefix + class}
+	log := t.config.Log.WithField("shard", shard)
+	fence := cairnbay.Expectation{Key: generationPrefix + shard}
 	generation, afterRestart := uint64(0), false
 	stored, err := t.config.Store.Get(readCtx, fence.Key)
 	switch {
@@ -207,28 +233,28 @@
 			return
 		}
 		fence.Revision, generation = stored.Revision, holding.GetGeneration()
-		afterRestart = holding.GetInstance() == t.config.Instance && !t.claimedBefore(class)
+		afterRestart = holding.GetInstance() == t.config.Instance && !t.claimedBefore(shard)
 	case !errors.Is(err, cairnbay.ErrNotFound):
-		log.WithError(err).Warn("class not claimed")
+		log.WithError(err).Warn("shard not claimed")
 		return
 	}
 	t.mu.Lock()
 	lease, expected := t.lease, cairnbay.Revision(0)
-	if owner := t.owners[class]; owner.Instance == t.config.Instance {
+	if owner := t.owners[shard]; owner.Instance == t.config.Instance {
 		expected = owner.revision
 	}
 	t.mu.Unlock()
 	claimedAt := t.config.BootTime()
 	// The write has a time of its own: if a slow store carries it out after it was
-	// given up, the class has an owner that does not know of it.
+	// given up, the shard has an owner that does not know of it.
 	writeCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	revision, err := t.putOwner(writeCtx, lease, class, expected, generation+1, fence, true)
+	revision, err := t.putOwner(writeCtx, lease, shard, expected, generation+1, fence, true)
 	if err != nil {
-		// A conflict means that another claim of the class came first.
-		log.WithError(err).Warn("class not claimed")
+		// A conflict means that another claim of the shard came first.
+		log.WithError(err).Warn("shard not claimed")
 		t.mu.Lock()
-		t.claimDelayStart[class] = t.config.BootTime()
+		t.claimDelayStart[shard] = t.config.BootTime()
 		t.mu.Unlock()
 		return
 	}
@@ -236,14 +262,14 @@
 	healthyFor := claimedAt - t.storeHealthySince
 	t.mu.Unlock()
 	claim := Claim{
-		Class: class, Token: uint64(revision), Generation: generation + 1, ClaimedAt: claimedAt, AfterRestart: afterRestart, StoreHealthyFor: healthyFor,
+		Shard: shard, Token: uint64(revision), Generation: generation + 1, ClaimedAt: claimedAt, AfterRestart: afterRestart, StoreHealthyFor: healthyFor,
 		Fence: cairnbay.Expectation{Key: fence.Key, Revision: revision},
 	}
 	t.mu.Lock()
-	t.claims[class] = claim
-	t.everClaimed[class] = true
-	t.setOwner(class, Owner{t.config.Instance, t.config.Address, claim.Generation, revision})
+	t.claims[shard] = claim
+	t.everClaimed[shard] = true
+	t.setOwner(shard, Owner{t.config.Instance, t.config.Address, claim.Generation, revision})
 	t.mu.Unlock()
-	log.WithFields(logrus.Fields{"token": claim.Token, "generation": claim.Generation}).Info("class claimed")
+	log.WithFields(logrus.Fields{"token": claim.Token, "generation": claim.Generation}).Info("shard claimed")
 	t.config.OnAcquired(claim)
 }
--- a/internal/process/tenure/tenure.go
+++ b/internal/process/tenure/tenure.go
@@ -1,4 +1,4 @@
-// Package tenure elects the instance that owns each worker class. Ownership
+// Package tenure elects the instance that owns each shard of a worker class. Ownership
 // is a key in the store that is attached to the owner's lease.
 package tenure
 
@@ -6,6 +6,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -16,6 +17,7 @@
 
 	"cairnbay"
 	cairnbayv1 "cairnbay/gen/cairnbay/v1"
+	"cairnbay/internal/process/layout"
 	"cairnbay/internal/process/mirror"
 )
 
@@ -25,6 +27,9 @@
 	nodePrefix       = livePrefix + "node/"
 	ownerPrefix      = livePrefix + "owner/"
 	generationPrefix = "cairnbay/generation/"
+	// layoutPrefix is below livePrefix, so that one watch follows both. Layouts are
+	// attached to no lease.
+	layoutPrefix = livePrefix + "layout/"
 )
 
 // Config configures a Tenure.
@@ -49,26 +54,29 @@
 	// WatchStallTimeout is how long a watch may return nothing before it is
 	// reopened.
 	WatchStallTimeout time.Duration
-	// Classes returns the classes that need an owner.
+	// Classes returns the classes that need owners.
 	Classes func() []string
-	// OnAcquired is called after this instance becomes the owner of a class, and
+	// Divide returns the layout of a class that has none yet; false while its
+	// workers are not known.
+	Divide func(ctx context.Context, class string) (layout.Layout, bool)
+	// OnAcquired is called after this instance becomes the owner of a shard, and
 	// OnLost after it stops being the owner. Neither may block. OnLost may run on
 	// any goroutine and is not ordered with OnAcquired.
 	OnAcquired func(claim Claim)
-	OnLost     func(class string)
+	OnLost     func(shard string)
 }
 
-// Claim describes this instance's ownership of a class.
+// Claim describes this instance's ownership of a shard.
 type Claim struct {
-	Class string
+	Shard string
 	// Token is the fencing token, the revision at which the claim was written.
 	// Workers reject orders with a lower token than one that they have seen.
 	Token uint64
-	// Generation is the number of this ownership of the class, counted from 1.
+	// Generation is the number of this ownership of the shard, counted from 1.
 	Generation uint64
 	// Fence is the condition that the generation key is still at the revision of
 	// this claim. Writes under it fail with cairnbay.ErrConflict after another claim
-	// of the class.
+	// of the shard.
 	Fence cairnbay.Expectation
 	// AfterRestart reports that the previous owner was an earlier process of this
 	// instance. That process has ended, so it gives no more orders.
@@ -81,7 +89,7 @@
 	ClaimedAt time.Duration
 }
 
-// Owner is the owner of a class according to the store.
+// Owner is the owner of a shard according to the store.
 type Owner struct {
 	Instance   string
 	Address    string
@@ -107,7 +115,7 @@
 	deletedAt time.Duration
 }
 
-// Tenure renews this instance's lease, claims classes without an owner, and
+// Tenure renews this instance's lease, claims shards without an owner, and
 // follows the instances and owners in the store.
 type Tenure struct {
 	config Config
@@ -120,9 +128,10 @@
 
 	mu     sync.Mutex
 	owners map[string]Owner
-	// ownerRevisions holds the highest applied revision of each owner key, by class.
+	// ownerRevisions holds the highest applied revision of each owner key, by shard.
 	ownerRevisions map[string]cairnbay.Revision
 	nodes          map[string]Node
+	layouts        map[string]layout.Layout
 	// lapsedNodes holds the instances whose keys were deleted. After an outage of
 	// the store that outlasted the leases, they are about to return.
 	lapsedNodes map[string]lapsedNode
@@ -130,11 +139,13 @@
 	// own lease lapsed; 0 for never.
 	lapsedAt time.Duration
 	// claimDelayStart is the time, on the boot-time clock, at which the claim delay
-	// of a class without an owner starts: settleTime ahead when the class is first
+	// of a shard without an owner starts: settleTime ahead when the shard is first
 	// checked, otherwise the deletion of the owner key or the last failed claim.
 	claimDelayStart map[string]time.Duration
-	claims          map[string]Claim
-	// everClaimed holds the classes that this process has claimed at least once.
+	// divideDelayStart is the same for the layout of a class.
+	divideDelayStart map[string]time.Duration
+	claims           map[string]Claim
+	// everClaimed holds the shards that this process has claimed at least once.
 	everClaimed map[string]bool
 	stopping    bool
 	// storeHealthySince is the time of the last failure to renew the lease, or of
@@ -156,7 +167,7 @@
 	// verifyTimeout bounds the read after a write without an answer. With
 	// callTimeout it stays within the time between two renewals of the lease.
 	verifyTimeout = 200 * time.Millisecond
-	// pollPeriod is the interval between checks of the lease and of the classes
+	// pollPeriod is the interval between checks of the lease and of the shards
 	// without an owner.
 	pollPeriod = 100 * time.Millisecond
 	// settleTime delays the first claims until instances that start together have
@@ -167,19 +178,20 @@
 	// lapsed in it are expected to return.
 	returnTime = 3 * time.Second
 	// rankDelay is the delay of a claim per rank, so that an instance claims a
-	// class only if those ranked before it have not.
+	// shard only if those ranked before it have not.
 	rankDelay = 250 * time.Millisecond
 )
 
-// New starts to register this instance and to claim classes in the background,
+// New starts to register this instance and to claim shards in the background,
 // until Resign or Close.
 func New(config Config) *Tenure {
 	ctx, cancel := context.WithCancel(context.Background())
 	t := &Tenure{
 		config: config, cancel: cancel, wake: make(chan struct{}, 1), life: rand.Uint64(),
 		owners: make(map[string]Owner), ownerRevisions: make(map[string]cairnbay.Revision), nodes: make(map[string]Node),
+		layouts:         make(map[string]layout.Layout),
 		lapsedNodes:     make(map[string]lapsedNode),
-		claimDelayStart: make(map[string]time.Duration), claims: make(map[string]Claim), everClaimed: make(map[string]bool),
+		claimDelayStart: make(map[string]time.Duration), divideDelayStart: make(map[string]time.Duration), claims: make(map[string]Claim), everClaimed: make(map[string]bool),
 		changed: make(chan struct{}), storeHealthySince: config.BootTime(),
 	}
 	t.mirror = mirror.New(mirror.Config{
@@ -197,21 +209,21 @@
 	t.mirror.Close()
 }
 
-// Resign gives up all classes, stops claiming and revokes the lease. If the
-// revocation fails, other instances can claim the classes only after LeaseTTL.
+// Resign gives up all shards, stops claiming and revokes the lease. If the
+// revocation fails, other instances can claim the shards only after LeaseTTL.
 func (t *Tenure) Resign(ctx context.Context) {
 	t.mu.Lock()
 	t.stopping = true
 	lease := t.lease
 	t.lease = 0
-	classes := make([]string, 0, len(t.claims))
-	for class := range t.claims {
-		classes = append(classes, class)
+	shards := make([]string, 0, len(t.claims))
+	for shard := range t.claims {
+		shards = append(shards, shard)
 	}
 	clear(t.claims)
 	t.mu.Unlock()
-	for _, class := range classes {
-		t.config.OnLost(class)
+	for _, shard := range shards {
+		t.config.OnLost(shard)
 	}
 	if lease == 0 {
 		return
@@ -221,37 +233,53 @@
 	}
 }
 
-// Abandon ends this instance's claim of a class after a worker has reported a newer
+// Abandon ends this instance's claim of a shard after a worker has reported a newer
 // owner. The owner key stays as it is.
-func (t *Tenure) Abandon(class string) {
+func (t *Tenure) Abandon(shard string) {
 	t.mu.Lock()
-	_, claimed := t.claims[class]
-	delete(t.claims, class)
+	_, claimed := t.claims[shard]
+	delete(t.claims, shard)
 	t.mu.Unlock()
 	if claimed {
-		t.config.OnLost(class)
+		t.config.OnLost(shard)
 	}
 }
 
-// Owner returns the owner of a class in the local copy of the store.
-func (t *Tenure) Owner(class string) (Owner, bool) {
+// Owner returns the owner of a shard in the local copy of the store.
+func (t *Tenure) Owner(shard string) (Owner, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	owner, ok := t.owners[class]
+	owner, ok := t.owners[shard]
 	return owner, ok
 }
 
-// Owners returns the owners in the local copy of the store, by class.
+// Owners returns the owners in the local copy of the store, by shard.
 func (t *Tenure) Owners() map[string]Owner {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	owners := make(map[string]Owner, len(t.owners))
-	for class, owner := range t.owners {
-		owners[class] = owner
+	for shard, owner := range t.owners {
+		owners[shard] = owner
 	}
 	return owners
 }
 
+// Layout returns the division of a class in the local copy of the store; false while
+// it has none.
+func (t *Tenure) Layout(class string) (layout.Layout, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	found, ok := t.layouts[class]
+	return found, ok
+}
+
+// Layouts returns the divisions of all classes, by class.
+func (t *Tenure) Layouts() map[string]layout.Layout {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return maps.Clone(t.layouts)
+}
+
 // Changed returns a channel that is closed at the next change of instances or
 // owners in the store.
 func (t *Tenure) Changed() <-chan struct{} {
@@ -283,7 +311,7 @@
 	return t.mirror.Failing()
 }
 
-// wakeRun makes run check the lease and the classes now, without blocking.
+// wakeRun makes run check the lease and the shards now, without blocking.
 func (t *Tenure) wakeRun() {
 	select {
 	case t.wake <- struct{}{}:
@@ -292,7 +320,7 @@
 }
 
 // run renews the lease after each LeaseTTL/renewalsPerLease, or at the next wake-up
-// after a failure, and then restores keys and claims classes.
+// after a failure, and then restores keys and claims shards.
 func (t *Tenure) run(ctx context.Context) {
 	cancel := t.config.Clock.Every(pollPeriod, func(time.Duration) { t.wakeRun() })
 	defer cancel()
@@ -314,7 +342,8 @@
 			}
 		}
 		t.restoreKeys(ctx)
-		t.claimClasses(ctx)
+		t.divideClasses(ctx)
+		t.claimShards(ctx)
 	}
 }
 
--- a/internal/process/tenure/tenure_test.go
+++ b/internal/process/tenure/tenure_test.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"cairnbay/internal/fake/store"
+	"cairnbay/internal/process/layout"
 	"cairnbay/internal/process/tenure"
 	"cairnbay/internal/process/timer"
 )
@@ -30,21 +31,26 @@
 	acquired []tenure.Claim
 }
 
-func (i *testInstance) claim(class string) (tenure.Claim, bool) {
+func (i *testInstance) claim(shard string) (tenure.Claim, bool) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	claim, ok := i.claims[class]
+	claim, ok := i.claims[shard]
 	return claim, ok
 }
 
-func (i *testInstance) owns(class string) func() bool {
+func (i *testInstance) owns(shard string) func() bool {
 	return func() bool {
-		_, ok := i.claim(class)
+		_, ok := i.claim(shard)
 		return ok
 	}
 }
 
-var _ = Describe("owners of classes", func() {
+// undivided gives a class one shard.
+func undivided(_ context.Context, class string) (layout.Layout, bool) {
+	return layout.Layout{Class: class, Shards: 1}, true
+}
+
+var _ = Describe("owners of shards", func() {
 	const leaseTTL = 600 * time.Millisecond
 	var (
 		fakeStore *store.Store
@@ -65,30 +71,31 @@
 			Store: fakeStore.For(name), Log: log, Clock: clock, BootTime: timer.Boot,
 			Instance: name, Address: name + ":1", Cores: cores, LeaseTTL: leaseTTL, WatchStallTimeout: time.Second,
 			Classes: func() []string { return classes },
+			Divide:  undivided,
 			OnAcquired: func(claim tenure.Claim) {
 				started.mu.Lock()
 				defer started.mu.Unlock()
-				started.claims[claim.Class] = claim
+				started.claims[claim.Shard] = claim
 				started.acquired = append(started.acquired, claim)
 			},
-			OnLost: func(class string) {
+			OnLost: func(shard string) {
 				started.mu.Lock()
 				defer started.mu.Unlock()
-				delete(started.claims, class)
+				delete(started.claims, shard)
 			},
 		})
 		return started
 	}
 
-	It("are the instances with the most cores, one class each", func() {
+	It("are the instances with the most cores, one shard each", func() {
 		weak := start("weak", 0.2, "a", "b")
 		strong := start("strong", 0.8, "a", "b")
 		DeferCleanup(weak.Close)
 		DeferCleanup(strong.Close)
 		Eventually(func() int {
 			count := 0
-			for _, class := range []string{"a", "b"} {
-				if strong.owns(class)() {
+			for _, shard := range []string{"a", "b"} {
+				if strong.owns(shard)() {
 					count++
 				}
 			}
@@ -148,13 +155,14 @@
 		Expect(weak.owns("a")()).To(BeFalse())
 	})
 
-	It("claim a class in a store that takes most of the time of a call", func() {
+	It("claim a shard in a store that takes most of the time of a call", func() {
 		const slowAnswer = 400 * time.Millisecond
 		claimed := make(chan tenure.Claim, 10)
 		claimant := tenure.New(tenure.Config{
 			Store: fakeStore.For("slow"), Log: log, Clock: clock, BootTime: timer.Boot,
 			Instance: "slow", Address: "slow:1", Cores: 1, LeaseTTL: 1400 * time.Millisecond, WatchStallTimeout: 2 * time.Second,
 			Classes:    func() []string { return []string{"a"} },
+			Divide:     undivided,
 			OnAcquired: func(claim tenure.Claim) { claimed <- claim },
 			OnLost:     func(string) {},
 		})
--- a/internal/request/gate/gate.go
+++ b/internal/request/gate/gate.go
@@ -1,5 +1,5 @@
 // Package gate serves callers' HTTP requests for workflows. It forwards each
-// request to the instance that owns the worker class of the queue.
+// request to the instance that owns the job's shard of the queue's class.
 package gate
 
 import (
@@ -15,10 +15,12 @@
 	"connectrpc.com/connect"
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
 
 	"cairnbay"
 	cairnbayv1 "cairnbay/gen/cairnbay/v1"
 	"cairnbay/internal/process/drive"
+	"cairnbay/internal/process/layout"
 	"cairnbay/internal/process/relay"
 	"cairnbay/internal/process/tenure"
 )
@@ -36,14 +38,19 @@
 	EncodeQueueLength func(count int) ([]byte, error)
 }
 
-// Owners tells which instance owns each worker class. *tenure.Tenure implements
-// it.
+// Owners tells how classes are divided into shards and which instance owns each of
+// them. *tenure.Tenure implements it.
 type Owners interface {
-	// Owner returns the owner of a class, false while it has none.
-	Owner(class string) (tenure.Owner, bool)
-	// Owners returns the owners by class.
+	// Layout returns the division of a class, false while it has none; Layouts those
+	// of all classes.
+	Layout(class string) (layout.Layout, bool)
+	Layouts() map[string]layout.Layout
+	// Owner returns the owner of a shard, false while it has none.
+	Owner(shard string) (tenure.Owner, bool)
+	// Owners returns the owners by shard.
 	Owners() map[string]tenure.Owner
-	// Changed returns a channel that is closed at the next change of an owner.
+	// Changed returns a channel that is closed at the next change of an owner or of a
+	// layout.
 	Changed() <-chan struct{}
 }
 
@@ -55,9 +62,9 @@
 	Owners  Owners
 	// Relay makes the calls to the owners on other instances.
 	Relay *relay.Relay
-	// Drive returns the scheduler of a class that this instance owns, nil for any
-	// other class.
-	Drive func(class string) *drive.Drive
+	// Drive returns the scheduler of a shard that this instance owns, nil for any
+	// other shard.
+	Drive func(shard string) *drive.Drive
 	Log   *logrus.Entry
 	// Metrics registers the histogram of request durations.
 	Metrics *metrics.Set
@@ -105,14 +112,14 @@
 	g.failingSince.CompareAndSwap(0, time.Now().UnixNano())
 }
 
-// Probe calls the owner of an arbitrary class that another instance owns, so that
+// Probe calls the owner of an arbitrary shard that another instance owns, so that
 // FailingFor is updated also without requests from callers. It does nothing if
 // there is none.
 func (g *Gate) Probe(ctx context.Context) {
-	for class := range g.config.Owners.Owners() {
-		if g.config.Drive(class) == nil {
-			// ownerQueueLength passes the outcome to recordOwnerCall.
-			_, _ = g.ownerQueueLength(ctx, &callerRequest{queue: cairnbay.Queue{Class: class}})
+	for shard := range g.config.Owners.Owners() {
+		if g.config.Drive(shard) == nil {
+			// shardQueueLength passes the outcome to recordOwnerCall.
+			_, _ = g.shardQueueLength(ctx, shard, "")
 			return
 		}
 	}
@@ -223,22 +230,42 @@
 	return max(timeout-responseMargin, responseMargin)
 }
 
-// awaitOwner returns the owner of a class. If the class has none, it waits for one
+// awaitOwner returns the owner of a shard. If the shard has none, it waits for one
 // up to ownerWaitTimeout.
-func (g *Gate) awaitOwner(ctx context.Context, class string) (tenure.Owner, bool) {
+func (g *Gate) awaitOwner(ctx context.Context, shard string) (owner tenure.Owner, ok bool) {
+	g.await(ctx, func() bool {
+		owner, ok = g.config.Owners.Owner(shard)
+		return ok
+	})
+	return owner, ok
+}
+
+// awaitLayout returns the division of a class. If the class has none, it waits for
+// one up to ownerWaitTimeout.
+func (g *Gate) awaitLayout(ctx context.Context, class string) (divided layout.Layout, ok bool) {
+	g.await(ctx, func() bool {
+		divided, ok = g.config.Owners.Layout(class)
+		return ok
+	})
+	return divided, ok
+}
+
+// await waits until found returns true, which is called again after each change of
+// the owners, at most for ownerWaitTimeout.
+func (g *Gate) await(ctx context.Context, found func() bool) {
 	deadline := time.NewTimer(ownerWaitTimeout)
 	defer deadline.Stop()
 	for {
 		changed := g.config.Owners.Changed()
-		if owner, ok := g.config.Owners.Owner(class); ok {
-			return owner, true
+		if found() {
+			return
 		}
 		select {
 		case <-changed:
 		case <-deadline.C:
-			return tenure.Owner{}, false
+			return
 		case <-ctx.Done():
-			return tenure.Owner{}, false
+			return
 		}
 	}
 }
@@ -258,12 +285,15 @@
 	}
 }
 
-// inspectAll calls the owner of the queue's class, then the owners of the other
-// classes: the queue may have had another class when it accepted the job. It
-// repeats failed calls until the context ends.
+// inspectAll calls the owner of the job's shard in the queue's class, then those in
+// the other classes: the queue may have had another class when it accepted the job.
+// It repeats failed calls until the context ends.
 func (g *Gate) inspectAll(ctx context.Context, callerReq *callerRequest) (cairnbay.WorkflowState, error) {
 	for {
-		state, err := g.inspectClass(ctx, callerReq.queue.Class, callerReq.id)
+		state, err := cairnbay.WorkflowUnknown, errNoOwner
+		if divided, ok := g.awaitLayout(ctx, callerReq.queue.Class); ok {
+			state, err = g.inspectShard(ctx, divided.ShardOfJob(callerReq.id), callerReq.id)
+		}
 		if err == nil && state != cairnbay.WorkflowUnknown {
 			return state, nil
 		}
@@ -279,14 +309,14 @@
 	}
 }
 
-// inspectOthers calls the owners of all classes but the queue's own, until one of
-// them has the job.
+// inspectOthers calls the owners of the job's shards in all classes but the queue's
+// own, until one of them has the job.
 func (g *Gate) inspectOthers(ctx context.Context, callerReq *callerRequest) (cairnbay.WorkflowState, error) {
-	for class := range g.config.Owners.Owners() {
+	for class, divided := range g.config.Owners.Layouts() {
 		if class == callerReq.queue.Class {
 			continue
 		}
-		state, err := g.inspectClass(ctx, class, callerReq.id)
+		state, err := g.inspectShard(ctx, divided.ShardOfJob(callerReq.id), callerReq.id)
 		if err != nil || state != cairnbay.WorkflowUnknown {
 			return state, err
 		}
@@ -294,14 +324,14 @@
 	return cairnbay.WorkflowUnknown, nil
 }
 
-// inspectClass gets the job's state from the owner of a class. Errors: errNoOwner,
-// also when the called instance does not own the class, or the error of the call.
-func (g *Gate) inspectClass(ctx context.Context, class, id string) (cairnbay.WorkflowState, error) {
-	owner, ok := g.awaitOwner(ctx, class)
+// inspectShard gets the job's state from the owner of a shard. Errors: errNoOwner,
+// also when the called instance does not own the shard, or the error of the call.
+func (g *Gate) inspectShard(ctx context.Context, shard, id string) (cairnbay.WorkflowState, error) {
+	owner, ok := g.awaitOwner(ctx, shard)
 	if !ok {
 		return cairnbay.WorkflowUnknown, errNoOwner
 	}
-	if localDrive := g.config.Drive(class); localDrive != nil {
+	if localDrive := g.config.Drive(shard); localDrive != nil {
 		if state, isOwner := localDrive.Inspect(ctx, id); isOwner {
 			return state, nil
 		}
@@ -310,7 +340,7 @@
 	ctx, cancel := context.WithTimeout(ctx, ownerCallTimeout)
 	defer cancel()
 	response, err := g.config.Relay.Client(owner.Address).Inspect(ctx,
-		connect.NewRequest(&cairnbayv1.InspectWorkflowRequest{Class: class, Id: id}))
+		connect.NewRequest(&cairnbayv1.InspectWorkflowRequest{Shard: shard, Id: id}))
 	g.recordOwnerCall(err == nil)
 	if err != nil {
 		return cairnbay.WorkflowUnknown, err
@@ -341,11 +371,14 @@
 // owner has it. It calls the owners in the same order as inspectAll.
 func (g *Gate) cancelAll(ctx context.Context, callerReq *callerRequest) (bool, error) {
 	for {
-		found, err := g.cancelClass(ctx, callerReq.queue.Class, callerReq.id)
+		found, err := false, errNoOwner
+		if divided, ok := g.awaitLayout(ctx, callerReq.queue.Class); ok {
+			found, err = g.cancelShard(ctx, divided.ShardOfJob(callerReq.id), callerReq.id)
+		}
 		if err == nil && !found {
-			for class := range g.config.Owners.Owners() {
+			for class, divided := range g.config.Owners.Layouts() {
 				if class != callerReq.queue.Class && err == nil && !found {
-					found, err = g.cancelClass(ctx, class, callerReq.id)
+					found, err = g.cancelShard(ctx, divided.ShardOfJob(callerReq.id), callerReq.id)
 				}
 			}
 		}
@@ -358,16 +391,16 @@
 	}
 }
 
-// cancelClass cancels the job at the owner of a class. It returns false if that
+// cancelShard cancels the job at the owner of a shard. It returns false if that
 // owner does not have the job. Errors: errNoOwner, also when the called instance
-// does not own the class, ErrUnknown if the cancellation may not be stored, or the
+// does not own the shard, ErrUnknown if the cancellation may not be stored, or the
 // error of the call.
-func (g *Gate) cancelClass(ctx context.Context, class, id string) (bool, error) {
-	owner, ok := g.awaitOwner(ctx, class)
+func (g *Gate) cancelShard(ctx context.Context, shard, id string) (bool, error) {
+	owner, ok := g.awaitOwner(ctx, shard)
 	if !ok {
 		return false, errNoOwner
 	}
-	if localDrive := g.config.Drive(class); localDrive != nil {
+	if localDrive := g.config.Drive(shard); localDrive != nil {
 		err := localDrive.Cancel(ctx, id)
 		if errors.Is(err, cairnbay.ErrNotFound) {
 			return false, nil
@@ -377,7 +410,7 @@
 	ctx, cancel := context.WithTimeout(ctx, ownerCallTimeout)
 	defer cancel()
 	response, err := g.config.Relay.Client(owner.Address).Cancel(ctx,
-		connect.NewRequest(&cairnbayv1.CancelWorkflowRequest{Class: class, Id: id}))
+		connect.NewRequest(&cairnbayv1.CancelWorkflowRequest{Shard: shard, Id: id}))
 	g.recordOwnerCall(err == nil)
 	switch {
 	case err != nil:
@@ -396,7 +429,7 @@
 // length responds with the number of jobs in the queue that have not started.
 func (g *Gate) length(ctx context.Context, writer http.ResponseWriter, callerReq *callerRequest) {
 	for {
-		waiting, err := g.ownerQueueLength(ctx, callerReq)
+		waiting, err := g.queueLength(ctx, callerReq.queue)
 		if err == nil {
 			body, err := g.config.Format.EncodeQueueLength(waiting)
 			g.writeJSON(writer, callerReq, body, err, "length")
@@ -409,16 +442,36 @@
 	}
 }
 
-// ownerQueueLength gets the number of jobs that have not started from the owner of
-// the queue's class. Errors: errNoOwner, also when the called instance does not own
-// the class, or the error of the call.
-func (g *Gate) ownerQueueLength(ctx context.Context, callerReq *callerRequest) (int, error) {
-	class, queue := callerReq.queue.Class, callerReq.queue.Name
-	owner, ok := g.awaitOwner(ctx, class)
+// queueLength sums the numbers of jobs that have not started over the shards of the
+// queue's class. Errors: those of shardQueueLength for any of them, since a sum of
+// fewer shards would be too low.
+func (g *Gate) queueLength(ctx context.Context, queue cairnbay.Queue) (int, error) {
+	divided, ok := g.awaitLayout(ctx, queue.Class)
+	if !ok {
+		return 0, errNoOwner
+	}
+	var total atomic.Int64
+	calls, ctx := errgroup.WithContext(ctx)
+	for _, shard := range divided.Names() {
+		calls.Go(func() error {
+			waiting, err := g.shardQueueLength(ctx, shard, queue.Name)
+			total.Add(int64(waiting))
+			return err
+		})
+	}
+	err := calls.Wait()
+	return int(total.Load()), err
+}
+
+// shardQueueLength gets the number of jobs that have not started from the owner of a
+// shard. Errors: errNoOwner, also when the called instance does not own the shard, or
+// the error of the call.
+func (g *Gate) shardQueueLength(ctx context.Context, shard, queue string) (int, error) {
+	owner, ok := g.awaitOwner(ctx, shard)
 	if !ok {
 		return 0, errNoOwner
 	}
-	if localDrive := g.config.Drive(class); localDrive != nil {
+	if localDrive := g.config.Drive(shard); localDrive != nil {
 		if waiting, isOwner := localDrive.Length(queue); isOwner {
 			return waiting, nil
 		}
@@ -427,7 +480,7 @@
 	ctx, cancel := context.WithTimeout(ctx, ownerCallTimeout)
 	defer cancel()
 	response, err := g.config.Relay.Client(owner.Address).Length(ctx,
-		connect.NewRequest(&cairnbayv1.LengthRequest{Class: class, Queue: queue}))
+		connect.NewRequest(&cairnbayv1.LengthRequest{Shard: shard, Queue: queue}))
 	g.recordOwnerCall(err == nil)
 	if err != nil {
 		return 0, err
--- a/internal/request/gate/gate_test.go
+++ b/internal/request/gate/gate_test.go
@@ -7,7 +7,9 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -22,6 +24,7 @@
 	cairnbayv1 "cairnbay/gen/cairnbay/v1"
 	"cairnbay/gen/cairnbay/v1/cairnbayv1connect"
 	"cairnbay/internal/process/drive"
+	"cairnbay/internal/process/layout"
 	"cairnbay/internal/process/relay"
 	"cairnbay/internal/process/tenure"
 	"cairnbay/internal/request/gate"
@@ -44,12 +47,16 @@
 	// state is a cairnbay.WorkflowState.
 	state         atomic.Uint32
 	found, stored atomic.Bool
+	// submitted are the shards to which each job was submitted, by job ID.
+	submitted sync.Map
 }
 
 func (o *owner) Submit(
-	context.Context, *connect.Request[cairnbayv1.SubmitWorkflowRequest],
+	_ context.Context, request *connect.Request[cairnbayv1.SubmitWorkflowRequest],
 ) (*connect.Response[cairnbayv1.SubmitWorkflowResponse], error) {
 	o.submits.Add(1)
+	shards, _ := o.submitted.LoadOrStore(request.Msg.GetWorkflow().GetId(), &sync.Map{})
+	shards.(*sync.Map).Store(request.Msg.GetShard(), true)
 	if o.dropResponses.Add(-1) >= 0 {
 		panic(http.ErrAbortHandler)
 	}
@@ -76,19 +83,37 @@
 	return connect.NewResponse(&cairnbayv1.LengthResponse{Owner: true, Waiting: 12}), nil
 }
 
-// owners implements gate.Owners with fixed owners by class.
+// owners implements gate.Owners with fixed owners by shard. Class c has two shards, all
+// others have one.
 type owners map[string]tenure.Owner
 
-func (o owners) Owner(class string) (tenure.Owner, bool) {
-	entry, ok := o[class]
+func (o owners) Owner(shard string) (tenure.Owner, bool) {
+	entry, ok := o[shard]
 	return entry, ok
 }
+
+func (o owners) Layout(class string) (layout.Layout, bool) {
+	if class == "c" {
+		return layout.Layout{Class: class, Shards: 2}, true
+	}
+	return layout.Layout{Class: class, Shards: 1}, true
+}
+
+func (o owners) Layouts() map[string]layout.Layout {
+	layouts := make(map[string]layout.Layout)
+	for _, class := range []string{"a", "b", "c"} {
+		layouts[class], _ = o.Layout(class)
+	}
+	return layouts
+}
+
 func (o owners) Owners() map[string]tenure.Owner { return o }
 func (o owners) Changed() <-chan struct{}        { return nil }
 
 var routing = &cairnbay.Routing{Version: 3, Queues: []cairnbay.Queue{
 	{Name: "all", Host: "x.test", Prefix: "/", Class: "a"},
 	{Name: "deep", Host: "x.test", Prefix: "/deep/", Class: "b"},
+	{Name: "wide", Host: "x.test", Prefix: "/wide/", Class: "c"},
 }}
 
 var _ = Describe("Gate", func() {
@@ -106,7 +131,10 @@
 		server := httptest.NewServer(mux)
 		DeferCleanup(server.Close)
 		address := server.Listener.Addr().String()
-		classOwners = owners{"a": {Instance: "n1", Address: address}, "b": {Instance: "n1", Address: address}}
+		classOwners = owners{}
+		for _, shard := range []string{"a", "b", "c~0", "c~1"} {
+			classOwners[shard] = tenure.Owner{Instance: "n1", Address: address}
+		}
 		current = routing
 		logger := logrus.New()
 		logger.SetOutput(io.Discard)
@@ -162,6 +190,34 @@
 		Expect(response.Header().Get("Retry-After")).To(Equal("2"))
 	})
 
+	It("submits a job of a divided class always to the same shard", func() {
+		used := make(map[string]bool)
+		for i := range 40 {
+			id := strconv.Itoa(i)
+			for range 2 {
+				Expect(send(http.MethodPost, "/wide/"+id, "{}").Code).To(Equal(http.StatusOK))
+			}
+			shards, _ := remoteOwner.submitted.Load(id)
+			count := 0
+			shards.(*sync.Map).Range(func(shard, _ any) bool {
+				used[shard.(string)] = true
+				count++
+				return true
+			})
+			Expect(count).To(Equal(1))
+		}
+		Expect(used).To(HaveLen(2))
+	})
+
+	It("sums the length of a queue over the shards of its class", func() {
+		Expect(send(http.MethodGet, "/wide/", "").Body.String()).To(Equal("24"))
+	})
+
+	It("does not respond with the length of a part of the shards", func() {
+		delete(classOwners, "c~1")
+		Expect(send(http.MethodGet, "/wide/", "").Code).To(Equal(http.StatusServiceUnavailable))
+	})
+
 	It("repeats a submission that got no response", func() {
 		remoteOwner.dropResponses.Store(1)
 		Expect(send(http.MethodPost, "/j", "{}").Code).To(Equal(http.StatusOK))
--- a/internal/request/gate/submit.go
+++ b/internal/request/gate/submit.go
@@ -54,14 +54,14 @@
 
 var (
 	// errNoOwner says that no owner is known, or that the called instance does not
-	// own the class. The call had no effect.
-	errNoOwner = errors.New("class has no owner")
+	// own the shard. The call had no effect.
+	errNoOwner = errors.New("shard has no owner")
 	// errUncertain says that the owner responded with SUBMIT_VERDICT_UNCERTAIN: the
 	// job may be accepted.
 	errUncertain = errors.New("not known whether the owner accepted the job")
 )
 
-// submitToOwner submits the workflow to the owner of its class, and again if the
+// submitToOwner submits the workflow to the owner of its shard, and again if the
 // owner does not respond or has changed. Repeating is safe because submissions
 // with the same ID are one job. The attempts end with the context, when awaitOwner
 // finds no owner, or after ownerWaitTimeout if no owner can have accepted the job.
@@ -70,12 +70,17 @@
 func (g *Gate) submitToOwner(ctx context.Context, workflow *cairnbay.Workflow, callerReq *callerRequest) (drive.Verdict, error) {
 	message := drive.EncodeWorkflow(workflow)
 	for {
-		owner, ok := g.awaitOwner(ctx, workflow.Class)
+		divided, ok := g.awaitLayout(ctx, workflow.Class)
+		if !ok {
+			return drive.Verdict{}, errNoOwner
+		}
+		shard := divided.ShardOfJob(workflow.ID)
+		owner, ok := g.awaitOwner(ctx, shard)
 		if !ok {
 			g.recordOwnerCall(false)
 			return drive.Verdict{}, errNoOwner
 		}
-		verdict, err := g.submitOnce(ctx, owner, workflow, message, callerReq)
+		verdict, err := g.submitOnce(ctx, owner, shard, workflow, message, callerReq)
 		switch {
 		case err != nil:
 		case verdict.Kind == cairnbayv1.SubmitVerdict_SUBMIT_VERDICT_UNCERTAIN:
@@ -98,15 +103,16 @@
 // submitOnce submits the workflow to the owner once, without a call over the
 // network if this instance is the owner.
 func (g *Gate) submitOnce(
-	ctx context.Context, owner tenure.Owner, workflow *cairnbay.Workflow, message *cairnbayv1.Workflow, callerReq *callerRequest,
+	ctx context.Context, owner tenure.Owner, shard string,
+	workflow *cairnbay.Workflow, message *cairnbayv1.Workflow, callerReq *callerRequest,
 ) (drive.Verdict, error) {
-	if localDrive := g.config.Drive(workflow.Class); localDrive != nil {
+	if localDrive := g.config.Drive(shard); localDrive != nil {
 		return localDrive.Submit(ctx, *workflow), nil
 	}
 	callCtx, cancel := context.WithTimeout(ctx, ownerCallTimeout)
 	defer cancel()
 	response, err := g.config.Relay.Client(owner.Address).Submit(callCtx,
-		connect.NewRequest(&cairnbayv1.SubmitWorkflowRequest{Workflow: message}))
+		connect.NewRequest(&cairnbayv1.SubmitWorkflowRequest{Workflow: message, Shard: shard}))
 	g.recordOwnerCall(err == nil)
 	if err != nil {
 		callerReq.maybeDelivered = callerReq.maybeDelivered || !neverSent(err)
