drive: pace starts by their answers and refuse new jobs while the owner is late

Cause: an owner past the limit of its processor did more work, not less. A start that is not answered within 150 ms is repeated, though its answer waits in the owner itself; repeats, uncertain attempts and their stops take the processor from renewals and ends, so the owner does not recover when the load halves.

Ruled out: lateness of plans alone as a signal. Plans run in time while hundreds of starts wait for their answers.

Change: starts in flight are bounded by how long answers take (pacer.go); a plan leaves the least urgent starts out. Timeouts of calls to workers grow with the lateness. A stop is repeated only after the result of the last one. A class of up to 450 workers a core stays whole: with cheaper calls one owner runs 350 workers, and a shard of 175 has too few allowed workers for the widest gangs.

--- a/internal/process/drive/drive.go
+++ b/internal/process/drive/drive.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -64,6 +65,9 @@
 	writer  *record.Writer
 	planDue chan struct{}
 	meters  meters
+	// planDueAt is the boot time at which the next plan is due, in nanoseconds; 0
+	// while none is.
+	planDueAt atomic.Int64
 
 	// mu guards the fields below and those of every link.
 	mu     sync.Mutex
@@ -86,6 +90,14 @@
 	// of the last rewrite.
 	compacting     bool
 	rewrittenBytes int
+	// late is how late this owner handles its events.
+	late lateness
+	// pacer bounds the starts in flight; startsHeld says that the last plan left some
+	// out because of it.
+	pacer      pacer
+	startsHeld bool
+	// heldSince is the boot time since which every plan has left starts out.
+	heldSince time.Duration
 	// inherited are the IDs of the workers that former owners used and that have
 	// neither answered this owner nor been counted as lost.
 	inherited map[string]struct{}
@@ -134,7 +146,7 @@
 		config: config, ctx: ctx, cancel: cancel, planDue: make(chan struct{}, 1),
 		core: sched.New(config.Sched), links: make(map[string]*link),
 		listed: make(map[string]cairnbay.WorkerEntry), pending: make(map[string]*submission), recordsStored: make(chan struct{}),
-		inherited: make(map[string]struct{}), meters: newMeters(config.Metrics, config.Claim.Shard),
+		inherited: make(map[string]struct{}), pacer: newPacer(), meters: newMeters(config.Metrics, config.Claim.Shard),
 	}
 	d.writer = record.New(record.Config{
 		Store: config.Store, Commit: config.Store.Commit, Shard: config.Claim.Shard,
@@ -182,6 +194,7 @@
 			return
 		case <-d.planDue:
 		}
+		d.planDueAt.Store(int64(d.config.BootTime() + planDelay))
 		time.Sleep(planDelay)
 		d.plan()
 	}
@@ -376,12 +389,16 @@
 	short, long := d.config.AdviceLimits()
 	d.mu.Lock()
 	d.core.SetAdviceLimits(short, long)
+	d.core.SetStartLimit(d.pacer.free())
 	now := d.now()
+	d.late.observe(now.BootTime - time.Duration(d.planDueAt.Swap(0)))
 	d.expireInherited(now.BootTime)
 	var actions []sched.Action
 	if d.ownershipConfirmed(now.BootTime) {
 		actions = d.core.Plan(now)
 	}
+	d.countStarts(actions)
+	d.observeHeldStarts(now.BootTime)
 	d.mu.Unlock()
 	d.execute(actions)
 }
@@ -410,7 +427,11 @@
 	if d.compacting || len(d.pending) > 0 || d.pendingCancels > 0 {
 		return
 	}
-	if grown := d.writer.Growth(); segmentsBefore < d.config.MaxSegments && grown < d.config.MaxGrowth+d.rewrittenBytes {
+	grown, limit := d.writer.Growth(), d.config.MaxGrowth+d.rewrittenBytes
+	if segmentsBefore < d.config.MaxSegments && grown < limit {
+		return
+	}
+	if d.late.overloaded() && segmentsBefore < 2*d.config.MaxSegments && grown < 2*limit {
 		return
 	}
 	d.compacting = true
--- a/internal/process/drive/drive_test.go
+++ b/internal/process/drive/drive_test.go
@@ -54,6 +54,8 @@
 	// maxSegments and maxGrowth are the number of segments and the bytes of growth
 	// from which owners rewrite the journal.
 	maxSegments, maxGrowth int
+	// lease is the lease that owners grant.
+	lease time.Duration
 
 	// runTime is how long each task runs, in nanoseconds.
 	runTime atomic.Int64
@@ -66,7 +68,7 @@
 	logger.SetOutput(io.Discard)
 	c := &cluster{
 		store: store.New(store.Config{Clock: clock}), clock: clock, log: logger.WithField("test", true),
-		maxSegments: 1000, maxGrowth: 1 << 20,
+		maxSegments: 1000, maxGrowth: 1 << 20, lease: lease,
 	}
 	c.runTime.Store(int64(runTime))
 	c.fleet = agent.New(agent.Config{
@@ -100,7 +102,7 @@
 	c.fence = cairnbay.Expectation{Key: "generation", Revision: revision}
 	owner := drive.New(drive.Config{
 		Claim: tenure.Claim{Shard: class, Token: uint64(revision), Generation: c.generation, Fence: c.fence, ClaimedAt: timer.Boot(), AfterRestart: c.afterRestart, StoreHealthyFor: time.Hour},
-		Store: c.store, Agent: cmp.Or[cairnbay.Agent](c.agent, c.fleet), Clock: c.clock, BootTime: timer.Boot, Log: c.log, Lease: lease, EntryTTL: 4500 * time.Millisecond,
+		Store: c.store, Agent: cmp.Or[cairnbay.Agent](c.agent, c.fleet), Clock: c.clock, BootTime: timer.Boot, Log: c.log, Lease: c.lease, EntryTTL: 4500 * time.Millisecond,
 		AdviceLimits: func() (int, int) { return 4, 4 },
 		Advise:       c.advise,
 		MaxSegments:  c.maxSegments,
--- a/internal/process/drive/link.go
+++ b/internal/process/drive/link.go
@@ -176,7 +176,7 @@
 	if l.answeredAt == 0 || l.failures > 0 {
 		order.Wait = 0
 	}
-	timeout := order.Wait + l.renewTimeout(sent)
+	timeout := order.Wait + l.renewTimeout(sent) + patience*d.late.recent
 	fenced := d.fenced
 	d.mu.Unlock()
 	if fenced {
--- a/internal/process/drive/orders.go
+++ b/internal/process/drive/orders.go
@@ -57,6 +57,7 @@
 	l, sent, leaseEnd := d.prepareOrder(action.Target.Worker)
 	if l == nil {
 		// Nothing was sent, so the order has certainly had no effect.
+		d.startSettled(0)
 		d.handleStarted(action, cairnbay.ErrOverloaded)
 		return
 	}
@@ -67,10 +68,17 @@
 	var err error
 	for try := 1; ; try++ {
 		var clock time.Duration
-		ctx, cancel := context.WithTimeout(d.ctx, time.Duration(try)*startTimeout)
+		ctx, cancel := context.WithTimeout(d.ctx, time.Duration(try)*startTimeout+d.allowance())
 		clock, err = d.config.Agent.Start(ctx, action.Target, order)
 		cancel()
 		d.handleAnswer(l, sent, clock, err)
+		if try == 1 {
+			took := time.Duration(0)
+			if err == nil {
+				took = d.config.BootTime() - sent
+			}
+			d.startSettled(took)
+		}
 		if try > 1 && refusesRetry(err) {
 			// An earlier try may have started the task, and the task may have ended
 			// since.
@@ -97,8 +105,44 @@
 	startTimeout = 150 * time.Millisecond
 	// stopTimeout bounds one stop call. Plans repeat the stop until it is answered.
 	stopTimeout = 400 * time.Millisecond
+	// patience times the lateness is added to the timeouts of calls to workers: an
+	// answer that this owner has not handled yet is not a lost one.
+	patience = 2
 )
 
+// countStarts counts the starts of actions about to be executed; the caller holds
+// the lock.
+func (d *Drive) countStarts(actions []sched.Action) {
+	for _, action := range actions {
+		if action.Start != nil {
+			d.pacer.inFlight++
+		}
+	}
+}
+
+// allowance is what the timeout of a call to a worker adds for the lateness of this
+// owner.
+func (d *Drive) allowance() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return patience * max(d.late.recent, d.pacer.latency)
+}
+
+// startSettled takes a start off those in flight, after its first try was answered or
+// was silent for its timeout. took is the time of an answer, 0 without one.
+func (d *Drive) startSettled(took time.Duration) {
+	d.mu.Lock()
+	d.pacer.inFlight--
+	if took > 0 {
+		d.pacer.answered(took)
+	}
+	resume := d.startsHeld && d.pacer.free() > int(d.pacer.limit)/2
+	d.mu.Unlock()
+	if resume {
+		d.requestPlan()
+	}
+}
+
 // refusesRetry says whether a repeated start was refused. The refusal does not
 // tell whether an earlier try took effect.
 func refusesRetry(err error) bool {
@@ -148,9 +192,10 @@
 func (d *Drive) stop(action *sched.StopAction) {
 	l, sent, _ := d.prepareOrder(action.Target.Worker)
 	if l == nil {
+		d.handleStopped(action, cairnbay.ErrOverloaded)
 		return
 	}
-	ctx, cancel := context.WithTimeout(d.ctx, stopTimeout)
+	ctx, cancel := context.WithTimeout(d.ctx, stopTimeout+d.allowance())
 	clock, err := d.config.Agent.Stop(ctx, action.Target, cairnbay.AgentStop{
 		Task: action.Task, Attempt: action.Attempt, Token: d.config.Claim.Token,
 	})
@@ -165,9 +210,14 @@
 	} else {
 		log.Info("attempt stopped")
 	}
+	d.handleStopped(action, err)
+}
+
+// handleStopped passes the result of a stop to the core.
+func (d *Drive) handleStopped(action *sched.StopAction, err error) {
 	d.mu.Lock()
+	defer d.mu.Unlock()
 	d.core.HandleStop(d.now(), action, err)
-	d.mu.Unlock()
 }
 
 const (
@@ -197,6 +247,7 @@
 	}
 	d.mu.Lock()
 	actions := d.core.HandleAdvice(d.now(), action.Step, action.Workers, tickets, err)
+	d.countStarts(actions)
 	d.mu.Unlock()
 	d.execute(actions)
 	d.requestPlan()
--- a/internal/process/drive/submit.go
+++ b/internal/process/drive/submit.go
@@ -17,6 +17,7 @@
 	// ReasonStoreStalled is for a store that does not answer the owner.
 	ReasonStoreStalled = "store_not_answering"
 	reasonOwnerStopped = "owner_stopped"
+	reasonOverloaded   = "owner_overloaded"
 )
 
 // Verdict is the answer to a submission.
@@ -83,11 +84,18 @@
 // trySubmit returns a verdict, or the submission that is being stored. It does
 // not block on the store.
 func (d *Drive) trySubmit(workflow cairnbay.Workflow) (Verdict, *submission) {
+	arrivedAt := d.config.BootTime()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if pending := d.pending[workflow.ID]; pending != nil {
 		return Verdict{}, pending
 	}
+	now := d.now()
+	// The wait for the lock is part of the lateness.
+	d.late.raise(now.BootTime - arrivedAt)
+	if dueAt := time.Duration(d.planDueAt.Load()); dueAt > 0 {
+		d.late.raise(now.BootTime - dueAt)
+	}
 	refused := Verdict{Kind: cairnbayv1.SubmitVerdict_SUBMIT_VERDICT_REFUSED}
 	switch {
 	case d.core.HasJob(workflow.ID):
@@ -100,8 +108,10 @@
 	case d.writer.Stalled():
 		refused.Reason, refused.RetryAfter = ReasonStoreStalled, stallRetryAfter
 		return refused, nil
+	case d.late.overloaded():
+		refused.Reason, refused.RetryAfter = reasonOverloaded, d.late.retryAfter()
+		return refused, nil
 	}
-	now := d.now()
 	admission := d.core.Admit(now, workflow)
 	if !admission.Accept {
 		refused.Reason, refused.RetryAfter = admission.Reason, admission.RetryAfter
--- a/internal/process/layout/layout.go
+++ b/internal/process/layout/layout.go
@@ -31,7 +31,7 @@
 const (
 	// workersPerCore is how many workers an owner can run with one core. Each costs
 	// two or three starts, as many ends and two renewals a second.
-	workersPerCore = 400
+	workersPerCore = 450
 	// maxShards bounds the shards of a class, and with them the calls that ask for
 	// something about the whole class.
 	maxShards = 64
--- a/internal/process/layout/layout_test.go
+++ b/internal/process/layout/layout_test.go
@@ -38,9 +38,9 @@
 
 	It("grows with the workers and with weaker instances", func() {
 		Expect(layout.Divide("c", fleet(792, 5), 0.8).Shards).To(Equal(3))
-		Expect(layout.Divide("c", fleet(350, 4), 0.8).Shards).To(Equal(2))
+		Expect(layout.Divide("c", fleet(400, 4), 0.8).Shards).To(Equal(2))
 		Expect(layout.Divide("c", fleet(83, 5), 0.12).Shards).To(Equal(2))
-		Expect(layout.Divide("c", fleet(5400, 5), 0.8).Shards).To(Equal(17))
+		Expect(layout.Divide("c", fleet(5400, 5), 0.8).Shards).To(Equal(15))
 	})
 
 	It("gives each shard racks of every data centre and an equal part of the workers", func() {
--- a/internal/process/sched/job.go
+++ b/internal/process/sched/job.go
@@ -21,11 +21,13 @@
 	// criticalPath is the estimated run time of the longest chain of steps.
 	criticalPath time.Duration
 	stages       map[stageKey]*stage
-	started      bool
-	ended        bool
-	endedAt      time.Duration
-	cancelled    bool
-	failed       bool
+	// started is set once a task is known to run or to have run. An order without
+	// an answer does not count: callers would take the job for begun.
+	started   bool
+	ended     bool
+	endedAt   time.Duration
+	cancelled bool
+	failed    bool
 	// unwritten counts records that are not in the store yet.
 	unwritten int
 	// attempts counts the job's attempts that hold capacity.
--- a/internal/process/sched/plan.go
+++ b/internal/process/sched/plan.go
@@ -107,13 +107,14 @@
 				attempt.stopCause = CauseStartUnanswered
 				c.abortGang(attempt)
 			}
-			if attempt.stopCause == "" || worker.unreachable {
+			if attempt.stopCause == "" || attempt.stopInFlight || worker.unreachable {
 				continue
 			}
 			if attempt.stopSentAt > 0 && now.BootTime-attempt.stopSentAt < stopRetryInterval {
 				continue
 			}
 			attempt.stopSentAt = now.BootTime
+			attempt.stopInFlight = true
 			actions = append(actions, Action{Stop: &StopAction{
 				Target: worker.target(), Task: attempt.ref, Attempt: attempt.number, Cause: attempt.stopCause,
 			}})
@@ -137,7 +138,12 @@
 	}
 	slices.SortFunc(ranked, comparePrecedence)
 	reservations := make(gangReservations)
+	c.startsHeld = false
 	for _, entry := range ranked {
+		if c.startLimit <= 0 {
+			c.startsHeld = true
+			break
+		}
 		stage := entry.stage
 		stageActions := c.planStage(now, stage, reservations)
 		if len(stageActions) == 0 {
@@ -282,9 +288,7 @@
 
 // startPlaced starts attempts that hold capacity.
 func (c *Core) startPlaced(now Moment, stage *stage, placed []*attempt) (actions []Action) {
-	if len(placed) > 0 {
-		stage.job.started = true
-	}
+	c.startLimit -= len(placed)
 	for _, attempt := range placed {
 		attempt.phase = phaseStarting
 		attempt.phaseSince = now.BootTime
--- a/internal/process/sched/result.go
+++ b/internal/process/sched/result.go
@@ -85,6 +85,9 @@
 }
 
 func (c *Core) markRunning(now Moment, a *attempt) {
+	if a.stage != nil {
+		a.stage.job.started = true
+	}
 	a.phase = phaseRunning
 	a.phaseSince = now.BootTime
 	a.startedAt = now.BootTime
@@ -100,7 +103,11 @@
 // HandleStop processes the answer to a stop.
 func (c *Core) HandleStop(now Moment, action *StopAction, err error) {
 	a := c.findAttempt(action.Target.Worker, action.Task, action.Attempt)
-	if a == nil || err != nil || a.stopAnsweredAt > 0 {
+	if a == nil {
+		return
+	}
+	a.stopInFlight = false
+	if err != nil || a.stopAnsweredAt > 0 {
 		return
 	}
 	a.stopAnsweredAt = now.BootTime
@@ -249,7 +256,6 @@
 		adopted.stopCause = ""
 		task.attempt = adopted
 		stage.waiting--
-		stage.job.started = true
 		c.updateReadyStages(stage.job)
 	}
 	return adopted
@@ -292,6 +298,7 @@
 		return nil, attemptEnd
 	}
 	attemptEnd.JobKnown = true
+	job.started = true
 	task := stage.task(end.Task.Index)
 	task.lastAttempt = max(task.lastAttempt, end.Attempt)
 	var records []Record
--- a/internal/process/sched/sched.go
+++ b/internal/process/sched/sched.go
@@ -6,6 +6,7 @@
 package sched
 
 import (
+	"math"
 	"time"
 
 	"cairnbay"
@@ -62,6 +63,10 @@
 	inFlight, callLimit callCounts
 	// ticked is set by Tick and cleared by Plan.
 	ticked bool
+	// startLimit is how many more starts may be ordered, startsHeld whether the last
+	// plan left stages out because of it.
+	startLimit int
+	startsHeld bool
 }
 
 // defaultCallLimit bounds the calls of each kind to the policy service until
@@ -73,6 +78,7 @@
 	return &Core{
 		config:        config,
 		changeCount:   1,
+		startLimit:    math.MaxInt,
 		callLimit:     callCounts{defaultCallLimit, defaultCallLimit},
 		jobs:          make(map[string]*job),
 		workers:       make(map[string]*worker),
@@ -82,6 +88,18 @@
 	}
 }
 
+// SetStartLimit bounds the starts of the next Plan. The stages that come last in
+// precedence are left out, so that in a burst the order of starts follows what is
+// urgent when each start can be sent. A stage that is begun gets all its starts.
+func (c *Core) SetStartLimit(starts int) {
+	c.startLimit = starts
+}
+
+// StartsHeld reports whether the last Plan left stages out because of the limit.
+func (c *Core) StartsHeld() bool {
+	return c.startsHeld
+}
+
 // BeginRecovery blocks the starts of inherited jobs, since their tasks may
 // still run on workers that have not answered yet.
 func (c *Core) BeginRecovery() {
--- a/internal/process/sched/worker.go
+++ b/internal/process/sched/worker.go
@@ -81,6 +81,8 @@
 	// first answered; 0 for never.
 	stopSentAt     time.Duration
 	stopAnsweredAt time.Duration
+	// stopInFlight is set until the result of the last stop is handled.
+	stopInFlight bool
 }
 
 // EndCause is the reason for which the owner stops an attempt.
