--- a/internal/tool/soak/faults.go
+++ b/internal/tool/soak/faults.go
@@ -92,8 +92,9 @@
 
 func storeRevokes(_ context.Context, w *world, random *rand.Rand, _ time.Duration) string {
 	i := random.IntN(len(w.processes))
-	w.store.Drop("cairnbay/live/owner/"+class, "cairnbay/live/node/"+w.name(i))
-	return "store revokes the owner's key and that of " + w.name(i)
+	shard := w.shards[random.IntN(len(w.shards))]
+	w.store.Drop("cairnbay/live/owner/"+shard, "cairnbay/live/node/"+w.name(i))
+	return "store revokes the key of the owner of " + shard + " and that of " + w.name(i)
 }
 
 func storeLink(ctx context.Context, w *world, random *rand.Rand, length time.Duration) string {
--- a/internal/tool/soak/soak.go
+++ b/internal/tool/soak/soak.go
@@ -23,6 +23,8 @@
 	Length    time.Duration
 	Instances int
 	Workers   int
+	// Shards is the number of shards of the workers' class, at least 1.
+	Shards int
 	// FirstPort is the first port of the first instance.
 	FirstPort int
 	// Program is the path of the program under test.
@@ -35,7 +37,7 @@
 
 // Defaults returns the configuration of a short run.
 func Defaults() Config {
-	return Config{Seed: 1, Length: 20 * time.Second, Instances: 3, Workers: 6, FirstPort: 21_000}
+	return Config{Seed: 1, Length: 20 * time.Second, Instances: 3, Workers: 6, Shards: 1, FirstPort: 21_000}
 }
 
 // ErrBroken says that a promise was broken.
@@ -56,12 +58,16 @@
 			flags.DurationVar(&config.Length, "length", config.Length, "`time` during which faults are injected")
 			flags.IntVar(&config.Instances, "instances", config.Instances, "instances to start")
 			flags.IntVar(&config.Workers, "workers", config.Workers, "workers to stand in for")
+			flags.IntVar(&config.Shards, "shards", config.Shards, "shards of the workers' class; the workers stand in racks of two")
 			flags.IntVar(&config.FirstPort, "port", config.FirstPort, "first `port` of the instances, on loopback")
 			flags.StringVar(&config.Folder, "folder", "", "`folder` for settings and logs (default: a new one, removed after a run that held)")
 			return func(ctx context.Context, arguments []string) error {
 				if len(arguments) > 0 {
 					return errors.Annotatef(shell.ErrUsage, "argument %q is not expected", arguments[0])
 				}
+				if config.Shards < 1 || config.Shards > config.Workers/2 {
+					return errors.Annotatef(shell.ErrUsage, "-shards %d: at least 1, at most half of the workers (%d)", config.Shards, config.Workers/2)
+				}
 				program, err := os.Executable()
 				if err != nil {
 					return errors.Trace(err)
--- a/internal/tool/soak/soak_test.go
+++ b/internal/tool/soak/soak_test.go
@@ -29,18 +29,20 @@
 
 	// Seeds that failed once stay here, each with its cause.
 	DescribeTable("finds no broken promise",
-		func(seed int, length time.Duration) {
+		func(seed, shards int, length time.Duration) {
 			config := soak.Defaults()
 			config.Seed, config.Length, config.Program = uint64(seed), length, program
+			config.Shards = shards
 			config.FirstPort, config.Folder = 26_000, GinkgoT().TempDir()
 			var out bytes.Buffer
 			config.Out = &out
 			err := soak.Run(context.Background(), config)
 			Expect(err).NotTo(HaveOccurred(), "%s", out.String())
 		},
-		Entry("a short run", 1, 8*time.Second),
+		Entry("a short run", 1, 1, 8*time.Second),
+		Entry("a short run over three shards", 2, 3, 8*time.Second),
 		// The late answer to a write of an owner's key overwrote the news of its
 		// successor; the instance then claimed the class without end.
-		Entry("seed 47", 47, 20*time.Second),
+		Entry("seed 47", 47, 1, 20*time.Second),
 	)
 })
--- a/internal/tool/soak/world.go
+++ b/internal/tool/soak/world.go
@@ -18,6 +18,7 @@
 	"cairnbay/internal/fake/agent"
 	"cairnbay/internal/fake/proxy"
 	"cairnbay/internal/fake/store"
+	"cairnbay/internal/process/layout"
 	"cairnbay/internal/process/timer"
 	"cairnbay/platform"
 	"cairnbay/platform/stand"
@@ -54,6 +55,7 @@
 	toStore  []*proxy.Proxy
 	toWorker []*proxy.Proxy
 	workers  []string
+	shards   []string
 	lives    int
 	version  int
 	faults   int
@@ -85,6 +87,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := w.divide(); err != nil {
+		return nil, err
+	}
 	w.configure()
 	for i := range config.Workers {
 		front, err := proxy.New(proxy.Config{Target: agents, Delay: proxyDelay})
@@ -155,13 +160,33 @@
 	w.put(platform.RoutingKey, stand.Config(w.version, class, host, prefix))
 }
 
+// rackName returns the rack of a worker, which stays with it over its lives.
+func rackName(worker int) string {
+	return fmt.Sprintf("r%d", worker/2)
+}
+
+// divide stores the layout of the class, since its few workers would make one shard.
+func (w *world) divide() error {
+	divided := layout.Layout{Class: class, Shards: w.config.Shards, Racks: make(map[string]int)}
+	for worker := range w.config.Workers {
+		divided.Racks[rackName(worker)] = worker / 2 % w.config.Shards
+	}
+	value, err := divided.Encode()
+	if err != nil {
+		return errors.Trace(err)
+	}
+	w.shards = divided.Names()
+	w.put("cairnbay/live/layout/"+class, value)
+	return nil
+}
+
 // addLife starts the next life of a worker.
 func (w *world) addLife(worker int) {
 	w.lives++
 	id := fmt.Sprintf("w%d-%d", worker, w.lives)
 	w.fleet.Add(id, workerSize)
 	w.workers[worker] = id
-	w.put(platform.WorkerPrefix+id, stand.Entry(class, w.toWorker[worker].Address(), workerSize))
+	w.put(platform.WorkerPrefix+id, stand.Entry(class, w.toWorker[worker].Address(), rackName(worker), workerSize))
 }
 
 // run starts an instance's process.
