--- a/internal/process/drive/drive.go
+++ b/internal/process/drive/drive.go
@@ -40,8 +40,8 @@
 	Sched   sched.Config
 	// MaxSegments is the length at which the journal is rewritten, in segments.
 	MaxSegments int
-	// MaxGrowth is the number of bytes, beyond as many as the last rewrite had, by
-	// which the journal grows before it is rewritten.
+	// MaxGrowth is the number of bytes of garbage, beyond as many as a rewrite would
+	// write, at which the journal is rewritten.
 	MaxGrowth int
 	// Lease is how long a worker runs its tasks without a renewal.
 	Lease time.Duration
@@ -87,9 +87,9 @@
 	// pendingCancels counts the cancellations being stored.
 	pendingCancels int
 	// compacting says that the journal is being rewritten, rewrittenBytes is the size
-	// of the last rewrite.
-	compacting     bool
-	rewrittenBytes int
+	// of the last rewrite and rewrittenJobs the number of live jobs in it.
+	compacting                    bool
+	rewrittenBytes, rewrittenJobs int
 	// late is how late this owner handles its events.
 	late lateness
 	// pacer bounds the starts in flight; startsHeld says that the last plan left some
@@ -411,9 +411,9 @@
 }
 
 // compact removes expired jobs, and rewrites the journal without them once it has
-// MaxSegments segments, or has grown by MaxGrowth and its size at the last rewrite.
-// The snapshot does not contain acceptances and
-// cancellations that are being stored, so a rewrite waits until there are none.
+// MaxSegments segments or enough of it is garbage. The snapshot does not contain
+// acceptances and cancellations that are being stored, so a rewrite waits until there
+// are none.
 func (d *Drive) compact() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -427,11 +427,11 @@
 	if d.compacting || len(d.pending) > 0 || d.pendingCancels > 0 {
 		return
 	}
-	grown, limit := d.writer.Growth(), d.config.MaxGrowth+d.rewrittenBytes
-	if segmentsBefore < d.config.MaxSegments && grown < limit {
+	garbage, limit := d.journalGarbage()
+	if segmentsBefore < d.config.MaxSegments && garbage < limit {
 		return
 	}
-	if d.late.overloaded() && segmentsBefore < 2*d.config.MaxSegments && grown < 2*limit {
+	if d.late.overloaded() && segmentsBefore < 2*d.config.MaxSegments && garbage < 2*limit {
 		return
 	}
 	d.compacting = true
@@ -444,12 +444,24 @@
 		d.compacting = false
 		d.mu.Unlock()
 	})
-	d.rewrittenBytes = 0
+	d.rewrittenBytes, d.rewrittenJobs = 0, d.core.LiveJobs()
 	for _, rec := range records {
 		d.rewrittenBytes += proto.Size(rec)
 	}
 }
 
+// journalGarbage estimates the bytes that a rewrite would remove, and how many may
+// gather before one is worth it: MaxGrowth and as many as a rewrite would write. The
+// size of the live jobs follows their number since the last rewrite. The caller holds
+// the lock.
+func (d *Drive) journalGarbage() (garbage, limit int) {
+	live := d.rewrittenBytes
+	if d.rewrittenJobs > 0 {
+		live = min(live, live*d.core.LiveJobs()/d.rewrittenJobs)
+	}
+	return d.writer.Growth() + d.rewrittenBytes - live, d.config.MaxGrowth + live
+}
+
 // snapshot returns the records that rebuild the present state; the caller holds
 // the lock.
 func (d *Drive) snapshot() (records []*cairnbayv1.WorkRecord) {
--- a/internal/process/layout/layout.go
+++ b/internal/process/layout/layout.go
@@ -91,8 +91,13 @@
 	return l.name(int(xxhash.Sum64String(id) % uint64(l.Shards)))
 }
 
-// ShardOfWorker returns the shard of a worker of the class.
+// ShardOfWorker returns the shard of a worker of the class. A worker without a rack
+// has none where other workers have racks: an entry that has lost its rack would give
+// the worker to a second owner.
 func (l Layout) ShardOfWorker(worker *cairnbay.WorkerEntry) string {
+	if worker.Rack == "" && len(l.Racks) > 0 {
+		return ""
+	}
 	if index, ok := l.Racks[worker.Rack]; ok {
 		return l.name(index)
 	}
--- a/internal/process/sched/sched.go
+++ b/internal/process/sched/sched.go
@@ -194,6 +194,17 @@
 	return counts
 }
 
+// LiveJobs returns the number of jobs that have not ended.
+func (c *Core) LiveJobs() int {
+	live := 0
+	for _, job := range c.jobs {
+		if !job.ended {
+			live++
+		}
+	}
+	return live
+}
+
 // RemoveExpired removes jobs whose retention has passed and returns their IDs.
 func (c *Core) RemoveExpired(now Moment) (removed []string) {
 	for id, job := range c.jobs {
