--- /dev/null
+++ b/internal/request/gate/cancel.go
@@ -0,0 +1,109 @@
+package gate
+
+import (
+	"context"
+	"errors"
+	"net/http"
+
+	"connectrpc.com/connect"
+	"golang.org/x/sync/errgroup"
+
+	"cairnbay"
+	cairnbayv1 "cairnbay/gen/cairnbay/v1"
+	"cairnbay/internal/process/layout"
+)
+
+// cancel cancels a job and responds with the outcome.
+func (g *Gate) cancel(ctx context.Context, writer http.ResponseWriter, callerReq *callerRequest) {
+	found, err := g.cancelAll(ctx, callerReq)
+	switch {
+	case err != nil:
+		g.recordOutcome(callerReq, http.StatusGatewayTimeout, err.Error())
+		http.Error(writer, "not known whether the job was cancelled", http.StatusGatewayTimeout)
+	case !found:
+		g.recordOutcome(callerReq, http.StatusGone, "unknown")
+		http.Error(writer, "no such job", http.StatusGone)
+	default:
+		g.recordOutcome(callerReq, http.StatusOK, "cancelled")
+		writer.WriteHeader(http.StatusOK)
+	}
+}
+
+// cancelAll cancels the job at the owner that has it, and returns false if no
+// owner has it. It calls the owners in the same order as inspectAll.
+func (g *Gate) cancelAll(ctx context.Context, callerReq *callerRequest) (bool, error) {
+	for {
+		found, err := false, errNoOwner
+		if divided, ok := g.awaitLayout(ctx, callerReq.queue.Class); ok {
+			found, err = g.cancelClass(ctx, divided, callerReq.id)
+		}
+		if err == nil && !found {
+			for class, divided := range g.config.Owners.Layouts() {
+				if class != callerReq.queue.Class && err == nil && !found {
+					found, err = g.cancelClass(ctx, divided, callerReq.id)
+				}
+			}
+		}
+		if err == nil {
+			return found, nil
+		}
+		if !pause(ctx) {
+			return false, err
+		}
+	}
+}
+
+// cancelClass cancels the job at the owner of its shard and, if that owner has it, at
+// those of the class's other shards, over which it may be spread.
+func (g *Gate) cancelClass(ctx context.Context, divided layout.Layout, id string) (bool, error) {
+	home := divided.ShardOfJob(id)
+	found, err := g.cancelShard(ctx, home, id)
+	if err != nil || !found {
+		return found, err
+	}
+	calls, ctx := errgroup.WithContext(ctx)
+	for _, shard := range divided.Names() {
+		if shard != home {
+			calls.Go(func() error {
+				_, err := g.cancelShard(ctx, shard, id)
+				return err
+			})
+		}
+	}
+	return true, calls.Wait()
+}
+
+// cancelShard cancels the job at the owner of a shard. It returns false if that
+// owner does not have the job. Errors: errNoOwner, also when the called instance
+// does not own the shard, ErrUnknown if the cancellation may not be stored, or the
+// error of the call.
+func (g *Gate) cancelShard(ctx context.Context, shard, id string) (bool, error) {
+	owner, ok := g.awaitOwner(ctx, shard)
+	if !ok {
+		return false, errNoOwner
+	}
+	if localDrive := g.config.Drive(shard); localDrive != nil {
+		err := localDrive.Cancel(ctx, id)
+		if errors.Is(err, cairnbay.ErrNotFound) {
+			return false, nil
+		}
+		return err == nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, ownerCallTimeout)
+	defer cancel()
+	response, err := g.config.Relay.Client(owner.Address).Cancel(ctx,
+		connect.NewRequest(&cairnbayv1.CancelWorkflowRequest{Shard: shard, Id: id}))
+	g.recordOwnerCall(err == nil)
+	switch {
+	case err != nil:
+		return false, err
+	case !response.Msg.GetOwner():
+		return false, errNoOwner
+	case !response.Msg.GetFound():
+		return false, nil
+	case !response.Msg.GetStored():
+		return false, cairnbay.ErrUnknown
+	default:
+		return true, nil
+	}
+}
--- a/internal/request/gate/gate.go
+++ b/internal/request/gate/gate.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -15,7 +14,6 @@
 	"connectrpc.com/connect"
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/sirupsen/logrus"
-	"golang.org/x/sync/errgroup"
 
 	"cairnbay"
 	cairnbayv1 "cairnbay/gen/cairnbay/v1"
@@ -351,166 +349,6 @@
 	return cairnbay.WorkflowState(response.Msg.GetState()), nil
 }
 
-// cancel cancels a job and responds with the outcome.
-func (g *Gate) cancel(ctx context.Context, writer http.ResponseWriter, callerReq *callerRequest) {
-	found, err := g.cancelAll(ctx, callerReq)
-	switch {
-	case err != nil:
-		g.recordOutcome(callerReq, http.StatusGatewayTimeout, err.Error())
-		http.Error(writer, "not known whether the job was cancelled", http.StatusGatewayTimeout)
-	case !found:
-		g.recordOutcome(callerReq, http.StatusGone, "unknown")
-		http.Error(writer, "no such job", http.StatusGone)
-	default:
-		g.recordOutcome(callerReq, http.StatusOK, "cancelled")
-		writer.WriteHeader(http.StatusOK)
-	}
-}
-
-// cancelAll cancels the job at the owner that has it, and returns false if no
-// owner has it. It calls the owners in the same order as inspectAll.
-func (g *Gate) cancelAll(ctx context.Context, callerReq *callerRequest) (bool, error) {
-	for {
-		found, err := false, errNoOwner
-		if divided, ok := g.awaitLayout(ctx, callerReq.queue.Class); ok {
-			found, err = g.cancelClass(ctx, divided, callerReq.id)
-		}
-		if err == nil && !found {
-			for class, divided := range g.config.Owners.Layouts() {
-				if class != callerReq.queue.Class && err == nil && !found {
-					found, err = g.cancelClass(ctx, divided, callerReq.id)
-				}
-			}
-		}
-		if err == nil {
-			return found, nil
-		}
-		if !pause(ctx) {
-			return false, err
-		}
-	}
-}
-
-// cancelClass cancels the job at the owner of its shard and, if that owner has it, at
-// those of the class's other shards, over which it may be spread.
-func (g *Gate) cancelClass(ctx context.Context, divided layout.Layout, id string) (bool, error) {
-	home := divided.ShardOfJob(id)
-	found, err := g.cancelShard(ctx, home, id)
-	if err != nil || !found {
-		return found, err
-	}
-	calls, ctx := errgroup.WithContext(ctx)
-	for _, shard := range divided.Names() {
-		if shard != home {
-			calls.Go(func() error {
-				_, err := g.cancelShard(ctx, shard, id)
-				return err
-			})
-		}
-	}
-	return true, calls.Wait()
-}
-
-// cancelShard cancels the job at the owner of a shard. It returns false if that
-// owner does not have the job. Errors: errNoOwner, also when the called instance
-// does not own the shard, ErrUnknown if the cancellation may not be stored, or the
-// error of the call.
-func (g *Gate) cancelShard(ctx context.Context, shard, id string) (bool, error) {
-	owner, ok := g.awaitOwner(ctx, shard)
-	if !ok {
-		return false, errNoOwner
-	}
-	if localDrive := g.config.Drive(shard); localDrive != nil {
-		err := localDrive.Cancel(ctx, id)
-		if errors.Is(err, cairnbay.ErrNotFound) {
-			return false, nil
-		}
-		return err == nil, err
-	}
-	ctx, cancel := context.WithTimeout(ctx, ownerCallTimeout)
-	defer cancel()
-	response, err := g.config.Relay.Client(owner.Address).Cancel(ctx,
-		connect.NewRequest(&cairnbayv1.CancelWorkflowRequest{Shard: shard, Id: id}))
-	g.recordOwnerCall(err == nil)
-	switch {
-	case err != nil:
-		return false, err
-	case !response.Msg.GetOwner():
-		return false, errNoOwner
-	case !response.Msg.GetFound():
-		return false, nil
-	case !response.Msg.GetStored():
-		return false, cairnbay.ErrUnknown
-	default:
-		return true, nil
-	}
-}
-
-// length responds with the number of jobs in the queue that have not started.
-func (g *Gate) length(ctx context.Context, writer http.ResponseWriter, callerReq *callerRequest) {
-	for {
-		waiting, err := g.queueLength(ctx, callerReq.queue)
-		if err == nil {
-			body, err := g.config.Format.EncodeQueueLength(waiting)
-			g.writeJSON(writer, callerReq, body, err, "length")
-			return
-		}
-		if !pause(ctx) {
-			g.refuse(writer, callerReq, err.Error(), time.Second)
-			return
-		}
-	}
-}
-
-// queueLength sums the numbers of jobs that have not started over the shards of the
-// queue's class. Errors: those of shardQueueLength for any of them, since a sum of
-// fewer shards would be too low.
-func (g *Gate) queueLength(ctx context.Context, queue cairnbay.Queue) (int, error) {
-	divided, ok := g.awaitLayout(ctx, queue.Class)
-	if !ok {
-		return 0, errNoOwner
-	}
-	var total atomic.Int64
-	calls, ctx := errgroup.WithContext(ctx)
-	for _, shard := range divided.Names() {
-		calls.Go(func() error {
-			waiting, err := g.shardQueueLength(ctx, shard, queue.Name)
-			total.Add(int64(waiting))
-			return err
-		})
-	}
-	err := calls.Wait()
-	return int(total.Load()), err
-}
-
-// shardQueueLength gets the number of jobs that have not started from the owner of a
-// shard. Errors: errNoOwner, also when the called instance does not own the shard, or
-// the error of the call.
-func (g *Gate) shardQueueLength(ctx context.Context, shard, queue string) (int, error) {
-	owner, ok := g.awaitOwner(ctx, shard)
-	if !ok {
-		return 0, errNoOwner
-	}
-	if localDrive := g.config.Drive(shard); localDrive != nil {
-		if waiting, isOwner := localDrive.Length(queue); isOwner {
-			return waiting, nil
-		}
-		return 0, errNoOwner
-	}
-	ctx, cancel := context.WithTimeout(ctx, ownerCallTimeout)
-	defer cancel()
-	response, err := g.config.Relay.Client(owner.Address).Length(ctx,
-		connect.NewRequest(&cairnbayv1.LengthRequest{Shard: shard, Queue: queue}))
-	g.recordOwnerCall(err == nil)
-	if err != nil {
-		return 0, err
-	}
-	if !response.Msg.GetOwner() {
-		return 0, errNoOwner
-	}
-	return int(response.Msg.GetWaiting()), nil
-}
-
 // writeJSON responds with body, the result of an encoder. err is the encoder's
 // error; if it is set, the status is 500.
 func (g *Gate) writeJSON(writer http.ResponseWriter, callerReq *callerRequest, body []byte, err error, outcome string) {
