--- a/internal/process/logq/format.go
+++ b/internal/process/logq/format.go
@@ -28,7 +28,8 @@
 func (f *Formatter) Format(entry *logrus.Entry) ([]byte, error) {
 	pooled := keyPool.Get().(*[]string)
 	defer keyPool.Put(pooled)
-	keys := append((*pooled)[:0], "level", "msg", "time")
+	keys := (*pooled)[:0]
+	keys = append(keys, "level", "msg", "time")
 	for key := range entry.Data {
 		if key != "level" && key != "msg" && key != "time" {
 			keys = append(keys, key)
