--- a/internal/process/sched/advice.go
+++ b/internal/process/sched/advice.go
@@ -11,8 +11,8 @@
 // advice holds the policy service's decision on the workers of a step and the
 // state of the call for it.
 type advice struct {
-	// inFlight counts the calls about the step in flight.
-	inFlight    int
+	// inFlight is set during a call about the step.
+	inFlight    bool
 	requestedAt time.Duration
 	// evaluated holds the workers on which the service has decided; a decision
 	// never changes.
@@ -129,35 +129,11 @@
 	if stage.spec.Gang {
 		limit = maxGangWorkersPerCall
 	}
-	// A wide gang needs decisions on many workers before it can be placed or reserve
-	// any. One call after the other takes longer than most gangs can wait, so calls
-	// go out together while at least half of the service's capacity is free.
-	var actions []Action
-	for calls := c.callsFor(stage, limit); calls > 0 && len(unevaluated) > 0; calls-- {
-		count := min(len(unevaluated), limit)
-		workers := make([]string, 0, count)
-		for _, worker := range unevaluated[:count] {
-			workers = append(workers, worker.entry.ID)
-		}
-		unevaluated = unevaluated[count:]
-		actions = append(actions, c.callPolicy(now, stage, workers)...)
-	}
-	return actions
-}
-
-// workersPerMember is on how many workers the policy service is asked at once for each
-// member of a gang. It allows a part of them, of which most are in use.
-const workersPerMember = 20
-
-// callsFor returns how many calls on limit workers each may go out together for a
-// stage, at least 1.
-func (c *Core) callsFor(stage *stage, limit int) int {
-	decide := stage.job.workflow.Queue.Advice.Decide
-	free := *c.callLimit.forDuration(decide)/2 - *c.inFlight.forDuration(decide)
-	if !stage.spec.Gang {
-		return 1
+	workers := make([]string, 0, limit)
+	for _, worker := range unevaluated[:min(len(unevaluated), limit)] {
+		workers = append(workers, worker.entry.ID)
 	}
-	return max(min((len(stage.tasks)*workersPerMember+limit-1)/limit, free), 1)
+	return c.callPolicy(now, stage, workers)
 }
 
 // sortByFit sorts workers by the number of the stage's tasks that fit, most
@@ -253,7 +229,7 @@
 
 func (c *Core) callPolicy(now Moment, stage *stage, workers []string) []Action {
 	terms := stage.job.workflow.Queue.Advice
-	stage.advice.inFlight++
+	stage.advice.inFlight = true
 	stage.advice.requestedAt = now.BootTime
 	*c.inFlight.forDuration(terms.Decide)++
 	c.adviceCalls[stage.ref(0)] = stage
@@ -270,12 +246,10 @@
 	if stage == nil {
 		return nil
 	}
+	delete(c.adviceCalls, step)
 	*c.inFlight.forDuration(stage.job.workflow.Queue.Advice.Decide)--
 	advice := stage.advice
-	advice.inFlight--
-	if advice.inFlight == 0 {
-		delete(c.adviceCalls, step)
-	}
+	advice.inFlight = false
 	c.changeCount++
 	if err == nil {
 		valid := stage.job.workflow.Queue.Advice.Valid
--- a/internal/process/sched/drain.go
+++ b/internal/process/sched/drain.go
@@ -55,7 +55,7 @@
 		}
 		return nil
 	}
-	if advice == nil || advice.inFlight > 0 {
+	if advice == nil || advice.inFlight {
 		return nil
 	}
 	if len(workersWithCapacity(func(id string) bool { return advice.valid(id, now.BootTime+c.config.StopTime) })) > 0 {
--- a/internal/process/sched/gang.go
+++ b/internal/process/sched/gang.go
@@ -8,18 +8,9 @@
 	"cairnbay"
 )
 
-const (
-	// minReservingGangs and workersPerReservation bound the gangs with reservations:
-	// one for that many workers, in a small class a few. More would leave no capacity
-	// for single tasks.
-	minReservingGangs     = 3
-	workersPerReservation = 32
-)
-
-// maxReservingGangs is the number of gangs that may have reservations.
-func (c *Core) maxReservingGangs() int {
-	return max(minReservingGangs, len(c.workers)/workersPerReservation)
-}
+// maxReservingGangs bounds the gangs with reservations; more would leave no
+// capacity for single tasks.
+const maxReservingGangs = 3
 
 // gangReservations holds the workers reserved for waiting gangs, by worker ID.
 // A task may backfill a reserved worker if it ends before the gang starts.
@@ -52,7 +43,7 @@
 // With a policy service it returns the reserved workers if the gang can start
 // within the duration of a call plus StopTime, else nil.
 func (c *Core) reserveForGang(now Moment, stage *stage, reservations gangReservations) []string {
-	if !stage.spec.Gang || stage.gangAborting || reservations.gangs() >= c.maxReservingGangs() {
+	if !stage.spec.Gang || stage.gangAborting || reservations.gangs() >= maxReservingGangs {
 		return nil
 	}
 	allowed := c.candidates(now, stage, reservations, func(w *worker) bool {
--- a/internal/process/sched/plan.go
+++ b/internal/process/sched/plan.go
@@ -272,7 +272,7 @@
 	if stage.advice == nil {
 		stage.advice = newAdvice()
 	}
-	if stage.advice.inFlight > 0 {
+	if stage.advice.inFlight {
 		return nil
 	}
 	hasTicket := func(w *worker) bool { return stage.advice.valid(w.entry.ID, now.BootTime) }
