sched, tenure: log why a gang was incomplete, and how old a lapsed lease was

A worker's end "alone" now gives a line "gang incomplete" with its cause, and a counter: the member was ordered by a former owner, this owner had decided to stop it, or it has ordered the others and knows of no failure. "store lease lapsed" says how long ago the lease was renewed, which tells an instance that was late itself from a store that did not answer. No decision changes.

--- a/internal/process/drive/link.go
+++ b/internal/process/drive/link.go
@@ -345,6 +345,13 @@
 func (d *Drive) logEnds(l *link, ends []sched.AttemptEnd) {
 	for _, ended := range ends {
 		d.meters.attemptEnded(ended.End.Reason)
+		if ended.Incomplete != "" {
+			d.meters.gangIncomplete(ended.Incomplete)
+			d.config.Log.WithFields(logrus.Fields{
+				"job": ended.End.Task.Job, "task": taskIndexes(ended.End.Task), "attempt": ended.End.Attempt,
+				"worker": l.entry.ID, "cause": ended.Incomplete,
+			}).Warn("gang incomplete")
+		}
 		d.config.Log.WithFields(logrus.Fields{
 			"job": ended.End.Task.Job, "task": taskIndexes(ended.End.Task), "attempt": ended.End.Attempt,
 			"worker": l.entry.ID, "reason": ended.End.Reason, "ran_ms": ended.RunTime.Milliseconds(), "known": ended.JobKnown,
--- a/internal/process/drive/meters.go
+++ b/internal/process/drive/meters.go
@@ -7,6 +7,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"cairnbay"
+	"cairnbay/internal/process/sched"
 )
 
 // meters are the metrics of one shard.
@@ -39,6 +40,10 @@
 	m.counter("cairnbay_attempts_ended_total", fmt.Sprintf(",reason=%q", reason)).Inc()
 }
 
+func (m meters) gangIncomplete(cause sched.IncompleteCause) {
+	m.counter("cairnbay_gangs_incomplete_total", fmt.Sprintf(",cause=%q", cause)).Inc()
+}
+
 func (m meters) startFinished(waited time.Duration, err error) {
 	result := "started"
 	m.startWait.Update(waited.Seconds())
--- a/internal/process/sched/gang.go
+++ b/internal/process/sched/gang.go
@@ -70,6 +70,33 @@
 	return workers
 }
 
+// IncompleteCause is why a member of a gang waited in vain for the others.
+type IncompleteCause string
+
+// Causes of an incomplete gang.
+const (
+	// IncompleteInherited is a member that a former owner ordered.
+	IncompleteInherited IncompleteCause = "former_owner"
+	// IncompleteStopping is a member that this owner had given up or decided to stop.
+	IncompleteStopping IncompleteCause = "stop_pending"
+	// IncompleteStarting is a member whose fellows this owner has ordered, none of
+	// them known to have failed.
+	IncompleteStarting IncompleteCause = "starts_pending"
+)
+
+// incompleteCause explains the end of a member that waited in vain; a is nil if the
+// attempt is no longer attached.
+func (c *Core) incompleteCause(a *attempt, number int) IncompleteCause {
+	switch {
+	case number <= c.config.AttemptBase:
+		return IncompleteInherited
+	case a == nil || a.stopCause != "":
+		return IncompleteStopping
+	default:
+		return IncompleteStarting
+	}
+}
+
 // gangFit is the number of gang members that fit on a worker.
 type gangFit struct {
 	worker *worker
--- a/internal/process/sched/result.go
+++ b/internal/process/sched/result.go
@@ -136,6 +136,9 @@
 	RunTime time.Duration
 	// JobKnown is set if the core has the job and the job has the task.
 	JobKnown bool
+	// Incomplete is why the gang was incomplete, empty unless the attempt ended with
+	// cairnbay.AgentGangIncomplete.
+	Incomplete IncompleteCause
 }
 
 // HoldResult is the outcome of HandleHold.
@@ -283,6 +286,9 @@
 	if a != nil && a.number != end.Attempt {
 		a = nil
 	}
+	if end.Reason == cairnbay.AgentGangIncomplete {
+		attemptEnd.Incomplete = c.incompleteCause(a, end.Attempt)
+	}
 	if a != nil && a.startedAt > 0 {
 		attemptEnd.RunTime = now.BootTime - a.startedAt
 	}
--- a/internal/process/tenure/tenure.go
+++ b/internal/process/tenure/tenure.go
@@ -153,6 +153,9 @@
 	storeHealthySince time.Duration
 	// lease is 0 before the first grant and after Resign.
 	lease cairnbay.LeaseID
+	// renewedAt is when the last renewal or grant was sent, on the boot-time clock. Only
+	// run uses it.
+	renewedAt time.Duration
 	// changed is closed and replaced at each change of instances or owners.
 	changed chan struct{}
 }
@@ -359,19 +362,22 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	if lease != 0 {
+		sent := t.config.BootTime()
 		err := t.config.Store.Renew(ctx, lease)
 		if err == nil {
+			t.renewedAt = sent
 			return true
 		}
 		if !errors.Is(err, cairnbay.ErrLeaseLapsed) {
 			t.config.Log.WithError(err).Warn("store lease not renewed")
 			return false
 		}
-		t.config.Log.Warn("store lease lapsed")
+		t.config.Log.WithField("since_renewal_ms", (sent - t.renewedAt).Milliseconds()).Warn("store lease lapsed")
 		t.mu.Lock()
 		t.lapsedAt = t.config.BootTime()
 		t.mu.Unlock()
 	}
+	sent := t.config.BootTime()
 	lease, err := t.config.Store.Grant(ctx, t.config.LeaseTTL)
 	if err != nil {
 		t.config.Log.WithError(err).Warn("store lease not granted")
@@ -380,6 +386,7 @@
 	t.mu.Lock()
 	t.lease = lease
 	t.mu.Unlock()
+	t.renewedAt = sent
 	return t.register(ctx, lease)
 }
 
