sched: keep the checkpoint of an attempt that ended between two owners

Seen: an attempt that was stopped while its owner was replaced, for instance by a preemption or on a worker that drains, was done again from its start. Cause: the successor learns of it only as an end; the checkpoint of an end was saved only for an attempt that the core had attached. Change: the checkpoint of an end is saved for the task unless a later attempt of it is known.

--- a/internal/process/sched/result.go
+++ b/internal/process/sched/result.go
@@ -205,7 +205,7 @@
 	}
 	c.checkProgress(now, a)
 	if running.Checkpoint != "" && a.task != nil {
-		a.saveCheckpoint(running.Checkpoint)
+		a.stage.saveCheckpoint(a.task, running.Checkpoint)
 	}
 }
 
@@ -318,8 +318,10 @@
 	case cairnbay.AgentFailed:
 		records = c.handleFailure(now, w, stage, task, end.Attempt)
 	default:
-		if a != nil && end.Checkpoint != "" {
-			a.saveCheckpoint(end.Checkpoint)
+		// A former owner may have ordered the attempt. The checkpoint of an earlier one
+		// does not replace that of a later one.
+		if end.Checkpoint != "" && end.Attempt == task.lastAttempt {
+			stage.saveCheckpoint(task, end.Checkpoint)
 		}
 	}
 	if a != nil {
@@ -386,14 +388,14 @@
 
 // saveCheckpoint stores the checkpoint for the next attempt; all members of a
 // gang share one.
-func (a *attempt) saveCheckpoint(checkpoint string) {
-	if a.stage.spec.Gang {
-		for i := range a.stage.tasks {
-			a.stage.tasks[i].checkpoint = checkpoint
+func (s *stage) saveCheckpoint(task *task, checkpoint string) {
+	if s.spec.Gang {
+		for i := range s.tasks {
+			s.tasks[i].checkpoint = checkpoint
 		}
 		return
 	}
-	a.task.checkpoint = checkpoint
+	task.checkpoint = checkpoint
 }
 
 // delayRestart delays the next start of a long-running task that ends
