sched: show a job as begun that began under a former owner

Seen: after a change of owner a job with ended tasks, of which nothing ran at that moment, was shown as pending and counted as waiting. Cause: a record of an ended attempt did not mark its job as begun when it was replayed. Test: begun_test.go; both specs failed before.

--- a/internal/process/sched/sched.go
+++ b/internal/process/sched/sched.go
@@ -157,6 +157,7 @@
 	if stage == nil {
 		return
 	}
+	job.started = true
 	switch record.Kind {
 	case RecordDone:
 		if record.Task.Index == wholeGang {
