tenure: renew the lease apart from claims

Seen in a test: an owner that claimed a second shard beside a store that answers after 500 ms lost the shard that it had, without any disruption of its own. Cause: one goroutine renewed the lease and made claims one after the other. A claim may take two calls and a check, 1.6 s in all; the lease lasts 1.4 s. Change: renewals have a goroutine of their own.

--- a/internal/process/tenure/events.go
+++ b/internal/process/tenure/events.go
@@ -27,7 +27,7 @@
 	close(t.changed)
 	t.changed = make(chan struct{})
 	t.mu.Unlock()
-	t.wakeRun()
+	signal(t.wake)
 }
 
 // applyOwner applies a change of an owner key. It calls OnLost on a new goroutine
--- a/internal/process/tenure/tenure.go
+++ b/internal/process/tenure/tenure.go
@@ -122,7 +122,8 @@
 	cancel context.CancelFunc
 	done   sync.WaitGroup
 	mirror *mirror.Mirror
-	wake   chan struct{}
+	// wake makes run check the shards, renewalDue makes renewLoop check the lease.
+	wake, renewalDue chan struct{}
 	// life is a random number that identifies this process in the instance key.
 	life uint64
 
@@ -154,7 +155,7 @@
 	// lease is 0 before the first grant and after Resign.
 	lease cairnbay.LeaseID
 	// renewedAt is when the last renewal or grant was sent, on the boot-time clock. Only
-	// run uses it.
+	// renewLoop uses it.
 	renewedAt time.Duration
 	// changed is closed and replaced at each change of instances or owners.
 	changed chan struct{}
@@ -190,7 +191,7 @@
 func New(config Config) *Tenure {
 	ctx, cancel := context.WithCancel(context.Background())
 	t := &Tenure{
-		config: config, cancel: cancel, wake: make(chan struct{}, 1), life: rand.Uint64(),
+		config: config, cancel: cancel, wake: make(chan struct{}, 1), renewalDue: make(chan struct{}, 1), life: rand.Uint64(),
 		owners: make(map[string]Owner), ownerRevisions: make(map[string]cairnbay.Revision), nodes: make(map[string]Node),
 		layouts:         make(map[string]layout.Layout),
 		lapsedNodes:     make(map[string]lapsedNode),
@@ -200,6 +201,7 @@
 	t.mirror = mirror.New(mirror.Config{
 		Store: config.Store, Prefix: livePrefix, Log: config.Log, StallTimeout: config.WatchStallTimeout, OnChange: t.onChange,
 	})
+	t.done.Go(func() { t.renewLoop(ctx) })
 	t.done.Go(func() { t.run(ctx) })
 	return t
 }
@@ -314,35 +316,51 @@
 	return t.mirror.Failing()
 }
 
-// wakeRun makes run check the lease and the shards now, without blocking.
-func (t *Tenure) wakeRun() {
+// signal wakes the receiver of a channel, without blocking.
+func signal(channel chan<- struct{}) {
 	select {
-	case t.wake <- struct{}{}:
+	case channel <- struct{}{}:
 	default:
 	}
 }
 
-// run renews the lease after each LeaseTTL/renewalsPerLease, or at the next wake-up
-// after a failure, and then restores keys and claims shards.
-func (t *Tenure) run(ctx context.Context) {
-	cancel := t.config.Clock.Every(pollPeriod, func(time.Duration) { t.wakeRun() })
+// renewLoop renews the lease after each LeaseTTL/renewalsPerLease, or at the next
+// check after a failure. It is apart from run: the calls of a claim may take longer
+// than the lease lasts.
+func (t *Tenure) renewLoop(ctx context.Context) {
+	cancel := t.config.Clock.Every(pollPeriod, func(time.Duration) { signal(t.renewalDue) })
 	defer cancel()
 	lastRenewal := time.Duration(0)
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-t.wake:
+		case <-t.renewalDue:
 		}
 		now := t.config.BootTime()
-		if lastRenewal == 0 || now-lastRenewal >= t.config.LeaseTTL/renewalsPerLease {
-			if t.renew(ctx) {
-				lastRenewal = now
-			} else {
-				t.mu.Lock()
-				t.storeHealthySince = now
-				t.mu.Unlock()
-			}
+		if lastRenewal > 0 && now-lastRenewal < t.config.LeaseTTL/renewalsPerLease {
+			continue
+		}
+		if t.renew(ctx) {
+			lastRenewal = now
+			continue
+		}
+		t.mu.Lock()
+		t.storeHealthySince = now
+		t.mu.Unlock()
+	}
+}
+
+// run restores keys, divides classes and claims shards, at each change of the keys
+// and at least every pollPeriod.
+func (t *Tenure) run(ctx context.Context) {
+	cancel := t.config.Clock.Every(pollPeriod, func(time.Duration) { signal(t.wake) })
+	defer cancel()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.wake:
 		}
 		t.restoreKeys(ctx)
 		t.divideClasses(ctx)
