drive, node: do not hold up the clock while the owner is busy

Cause: all callbacks of an instance's clock run on one goroutine. An owner that is busy can so lose its shards without a disruption. Change: the callbacks only signal, the work has goroutines of its own.

--- /dev/null
+++ b/internal/process/drive/compact.go
@@ -0,0 +1,102 @@
+package drive
+
+import (
+	"github.com/sirupsen/logrus"
+	"google.golang.org/protobuf/proto"
+
+	"cairnbay"
+	cairnbayv1 "cairnbay/gen/cairnbay/v1"
+)
+
+// compactLoop checks the journal whenever the clock says so, until the drive closes.
+func (d *Drive) compactLoop() {
+	for {
+		select {
+		case <-d.ctx.Done():
+			return
+		case <-d.compactDue:
+			d.compact()
+		}
+	}
+}
+
+// compact removes expired jobs, and rewrites the journal without them once it has
+// MaxSegments segments or enough of it is garbage. The snapshot does not contain
+// acceptances and cancellations that are being stored, so a rewrite waits until there
+// are none.
+func (d *Drive) compact() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.loaded || d.fenced {
+		return
+	}
+	for _, id := range d.core.RemoveExpired(d.now()) {
+		d.config.Log.WithField("job", id).Info("expired job removed")
+	}
+	segmentsBefore := d.writer.Segments()
+	if d.compacting || len(d.pending) > 0 || d.pendingCancels > 0 {
+		return
+	}
+	garbage, limit := d.journalGarbage()
+	if segmentsBefore < d.config.MaxSegments && garbage < limit {
+		return
+	}
+	if d.late.overloaded() && segmentsBefore < 2*d.config.MaxSegments && garbage < 2*limit {
+		return
+	}
+	d.compacting = true
+	records := d.snapshot()
+	d.writer.Compact(records, func(err error) {
+		d.config.Log.WithError(err).WithFields(logrus.Fields{
+			"records": len(records), "segments_before": segmentsBefore, "segments": d.writer.Segments(),
+		}).Info("journal rewritten")
+		d.mu.Lock()
+		d.compacting = false
+		d.mu.Unlock()
+	})
+	d.rewrittenBytes, d.rewrittenJobs = 0, d.core.LiveJobs()
+	for _, rec := range records {
+		d.rewrittenBytes += proto.Size(rec)
+	}
+}
+
+// journalGarbage estimates the bytes that a rewrite would remove, and how many may
+// gather before one is worth it: MaxGrowth and as many as a rewrite would write. The
+// size of the live jobs follows their number since the last rewrite. The caller holds
+// the lock.
+func (d *Drive) journalGarbage() (garbage, limit int) {
+	live := d.rewrittenBytes
+	if d.rewrittenJobs > 0 {
+		live = min(live, live*d.core.LiveJobs()/d.rewrittenJobs)
+	}
+	return d.writer.Growth() + d.rewrittenBytes - live, d.config.MaxGrowth + live
+}
+
+// snapshot returns the records that rebuild the present state; the caller holds
+// the lock.
+func (d *Drive) snapshot() (records []*cairnbayv1.WorkRecord) {
+	if d.settled > 0 {
+		records = append(records, &cairnbayv1.WorkRecord{Settled: d.settled})
+	}
+	for _, link := range d.links {
+		// The record of a worker that is not journaled yet may be queued before the
+		// rewrite. Only a worker released after its lease ended is left out.
+		if link.journaled || !link.lapsed {
+			records = append(records, &cairnbayv1.WorkRecord{Worker: encodeWorker(link.entry)})
+		}
+	}
+	for _, job := range d.core.Snapshot() {
+		if job.Ended != cairnbay.WorkflowUnknown {
+			records = append(records, &cairnbayv1.WorkRecord{Ended: &cairnbayv1.EndedWorkflow{
+				Id: job.Workflow.ID, State: uint32(job.Ended),
+			}})
+			continue
+		}
+		records = append(records, &cairnbayv1.WorkRecord{Accepted: EncodeWorkflow(&job.Workflow)})
+		records = append(records, encodeRecords(job.Records)...)
+		if job.Cancelled {
+			records = append(records, &cairnbayv1.WorkRecord{Cancelled: job.Workflow.ID})
+		}
+	}
+	return records
+}
--- a/internal/process/drive/drive.go
+++ b/internal/process/drive/drive.go
@@ -11,13 +11,13 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/sirupsen/logrus"
-	"google.golang.org/protobuf/proto"
 
 	"cairnbay"
 	cairnbayv1 "cairnbay/gen/cairnbay/v1"
 	"cairnbay/internal/process/record"
 	"cairnbay/internal/process/sched"
 	"cairnbay/internal/process/tenure"
+	"cairnbay/internal/process/timer"
 )
 
 // Config sets up a Drive.
@@ -58,12 +58,15 @@
 // workers, renews their leases and writes the journal, until it is closed or a
 // worker reports a newer owner.
 type Drive struct {
-	config  Config
-	ctx     context.Context
-	cancel  context.CancelFunc
-	done    sync.WaitGroup
-	writer  *record.Writer
-	planDue chan struct{}
+	config Config
+	ctx    context.Context
+	cancel context.CancelFunc
+	done   sync.WaitGroup
+	writer *record.Writer
+	// planDue and compactDue wake the goroutines that plan and that check the journal.
+	planDue, compactDue chan struct{}
+	// tickDue says that the next plan must consider the time that has passed.
+	tickDue atomic.Bool
 	meters  meters
 	// planDueAt is the boot time at which the next plan is due, in nanoseconds; 0
 	// while none is.
@@ -143,7 +146,7 @@
 	config.Log = config.Log.WithField("shard", config.Claim.Shard)
 	config.Sched.AttemptBase = int(config.Claim.Generation-1) * attemptsPerOwner
 	d := &Drive{
-		config: config, ctx: ctx, cancel: cancel, planDue: make(chan struct{}, 1),
+		config: config, ctx: ctx, cancel: cancel, planDue: make(chan struct{}, 1), compactDue: make(chan struct{}, 1),
 		core: sched.New(config.Sched), links: make(map[string]*link),
 		listed: make(map[string]cairnbay.WorkerEntry), pending: make(map[string]*submission), recordsStored: make(chan struct{}),
 		inherited: make(map[string]struct{}), pacer: newPacer(), meters: newMeters(config.Metrics, config.Claim.Shard),
@@ -180,14 +183,14 @@
 	if !d.load() {
 		return
 	}
-	cancel := d.config.Clock.Every(planPeriod, func(time.Duration) {
-		d.mu.Lock()
-		d.core.Tick()
-		d.mu.Unlock()
+	// All callbacks of the clock share a goroutine, so that these must not wait for the
+	// lock of an owner that is busy: the instance renews its lease by the same clock.
+	defer d.config.Clock.Every(planPeriod, func(time.Duration) {
+		d.tickDue.Store(true)
 		d.requestPlan()
-	})
-	defer cancel()
-	defer d.config.Clock.Every(compactPeriod, func(time.Duration) { d.compact() })()
+	})()
+	defer d.config.Clock.Every(compactPeriod, func(time.Duration) { timer.Signal(d.compactDue) })()
+	d.done.Go(d.compactLoop)
 	for {
 		select {
 		case <-d.ctx.Done():
@@ -202,10 +205,7 @@
 
 // requestPlan wakes the goroutine that plans. It does not block.
 func (d *Drive) requestPlan() {
-	select {
-	case d.planDue <- struct{}{}:
-	default:
-	}
+	timer.Signal(d.planDue)
 }
 
 // load rebuilds the state from the journal. It retries until it succeeds, each time
@@ -390,6 +390,9 @@
 	d.mu.Lock()
 	d.core.SetAdviceLimits(short, long)
 	d.core.SetStartLimit(d.pacer.free())
+	if d.tickDue.Swap(false) {
+		d.core.Tick()
+	}
 	now := d.now()
 	d.late.observe(now.BootTime - time.Duration(d.planDueAt.Swap(0)))
 	d.expireInherited(now.BootTime)
@@ -409,84 +412,3 @@
 	defer d.mu.Unlock()
 	return d.core.Counts()
 }
-
-// compact removes expired jobs, and rewrites the journal without them once it has
-// MaxSegments segments or enough of it is garbage. The snapshot does not contain
-// acceptances and cancellations that are being stored, so a rewrite waits until there
-// are none.
-func (d *Drive) compact() {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if !d.loaded || d.fenced {
-		return
-	}
-	for _, id := range d.core.RemoveExpired(d.now()) {
-		d.config.Log.WithField("job", id).Info("expired job removed")
-	}
-	segmentsBefore := d.writer.Segments()
-	if d.compacting || len(d.pending) > 0 || d.pendingCancels > 0 {
-		return
-	}
-	garbage, limit := d.journalGarbage()
-	if segmentsBefore < d.config.MaxSegments && garbage < limit {
-		return
-	}
-	if d.late.overloaded() && segmentsBefore < 2*d.config.MaxSegments && garbage < 2*limit {
-		return
-	}
-	d.compacting = true
-	records := d.snapshot()
-	d.writer.Compact(records, func(err error) {
-		d.config.Log.WithError(err).WithFields(logrus.Fields{
-			"records": len(records), "segments_before": segmentsBefore, "segments": d.writer.Segments(),
-		}).Info("journal rewritten")
-		d.mu.Lock()
-		d.compacting = false
-		d.mu.Unlock()
-	})
-	d.rewrittenBytes, d.rewrittenJobs = 0, d.core.LiveJobs()
-	for _, rec := range records {
-		d.rewrittenBytes += proto.Size(rec)
-	}
-}
-
-// journalGarbage estimates the bytes that a rewrite would remove, and how many may
-// gather before one is worth it: MaxGrowth and as many as a rewrite would write. The
-// size of the live jobs follows their number since the last rewrite. The caller holds
-// the lock.
-func (d *Drive) journalGarbage() (garbage, limit int) {
-	live := d.rewrittenBytes
-	if d.rewrittenJobs > 0 {
-		live = min(live, live*d.core.LiveJobs()/d.rewrittenJobs)
-	}
-	return d.writer.Growth() + d.rewrittenBytes - live, d.config.MaxGrowth + live
-}
-
-// snapshot returns the records that rebuild the present state; the caller holds
-// the lock.
-func (d *Drive) snapshot() (records []*cairnbayv1.WorkRecord) {
-	if d.settled > 0 {
-		records = append(records, &cairnbayv1.WorkRecord{Settled: d.settled})
-	}
-	for _, link := range d.links {
-		// The record of a worker that is not journaled yet may be queued before the
-		// rewrite. Only a worker released after its lease ended is left out.
-		if link.journaled || !link.lapsed {
-			records = append(records, &cairnbayv1.WorkRecord{Worker: encodeWorker(link.entry)})
-		}
-	}
-	for _, job := range d.core.Snapshot() {
-		if job.Ended != cairnbay.WorkflowUnknown {
-			records = append(records, &cairnbayv1.WorkRecord{Ended: &cairnbayv1.EndedWorkflow{
-				Id: job.Workflow.ID, State: uint32(job.Ended),
-			}})
-			continue
-		}
-		records = append(records, &cairnbayv1.WorkRecord{Accepted: EncodeWorkflow(&job.Workflow)})
-		records = append(records, encodeRecords(job.Records)...)
-		if job.Cancelled {
-			records = append(records, &cairnbayv1.WorkRecord{Cancelled: job.Workflow.ID})
-		}
-	}
-	return records
-}
--- a/internal/process/node/workerlist.go
+++ b/internal/process/node/workerlist.go
@@ -7,6 +7,7 @@
 	"cairnbay"
 	"cairnbay/internal/process/drive"
 	"cairnbay/internal/process/mirror"
+	"cairnbay/internal/process/timer"
 )
 
 // workerList reads the entries of a shard's workers from the store and passes them
@@ -17,6 +18,9 @@
 	drive  *drive.Drive
 	mirror *mirror.Mirror
 	cancel func()
+	// expiryDue wakes the goroutine that removes missing entries; closing ends it.
+	expiryDue, closing chan struct{}
+	done               sync.WaitGroup
 
 	mu      sync.Mutex
 	entries map[string]cairnbay.WorkerEntry
@@ -44,18 +48,32 @@
 	w := &workerList{
 		node: node, shard: shard, drive: shardDrive,
 		entries: make(map[string]cairnbay.WorkerEntry), missing: make(map[string]time.Duration),
+		expiryDue: make(chan struct{}, 1), closing: make(chan struct{}),
 	}
 	w.mirror = mirror.New(mirror.Config{
 		Store: node.config.Platform.Store, Prefix: node.config.Platform.WorkerPrefix, Log: node.config.Log,
 		PollInterval: listPeriod, OnChange: w.applyChanges,
 	})
-	w.cancel = node.config.Clock.Every(expiryPeriod, func(time.Duration) { w.expire() })
+	w.cancel = node.config.Clock.Every(expiryPeriod, func(time.Duration) { timer.Signal(w.expiryDue) })
+	// The drive may be busy, and the callbacks of the clock must not wait for it.
+	w.done.Go(func() {
+		for {
+			select {
+			case <-w.closing:
+				return
+			case <-w.expiryDue:
+				w.expire()
+			}
+		}
+	})
 	return w
 }
 
 func (w *workerList) close() {
 	w.cancel()
+	close(w.closing)
 	w.mirror.Close()
+	w.done.Wait()
 }
 
 // applyChanges updates the entries. An invalid entry is logged and does not
--- a/internal/process/tenure/events.go
+++ b/internal/process/tenure/events.go
@@ -9,6 +9,7 @@
 	"cairnbay"
 	cairnbayv1 "cairnbay/gen/cairnbay/v1"
 	"cairnbay/internal/process/layout"
+	"cairnbay/internal/process/timer"
 )
 
 // onChange applies changes of the instance and owner keys.
@@ -27,7 +28,7 @@
 	close(t.changed)
 	t.changed = make(chan struct{})
 	t.mu.Unlock()
-	signal(t.wake)
+	timer.Signal(t.wake)
 }
 
 // applyOwner applies a change of an owner key. It calls OnLost on a new goroutine
--- a/internal/process/tenure/tenure.go
+++ b/internal/process/tenure/tenure.go
@@ -19,6 +19,7 @@
 	cairnbayv1 "cairnbay/gen/cairnbay/v1"
 	"cairnbay/internal/process/layout"
 	"cairnbay/internal/process/mirror"
+	"cairnbay/internal/process/timer"
 )
 
 // Prefixes of the store's keys. Those below livePrefix are attached to leases.
@@ -316,19 +317,11 @@
 	return t.mirror.Failing()
 }
 
-// signal wakes the receiver of a channel, without blocking.
-func signal(channel chan<- struct{}) {
-	select {
-	case channel <- struct{}{}:
-	default:
-	}
-}
-
 // renewLoop renews the lease after each LeaseTTL/renewalsPerLease, or at the next
 // check after a failure. It is apart from run: the calls of a claim may take longer
 // than the lease lasts.
 func (t *Tenure) renewLoop(ctx context.Context) {
-	cancel := t.config.Clock.Every(pollPeriod, func(time.Duration) { signal(t.renewalDue) })
+	cancel := t.config.Clock.Every(pollPeriod, func(time.Duration) { timer.Signal(t.renewalDue) })
 	defer cancel()
 	lastRenewal := time.Duration(0)
 	for {
@@ -354,7 +347,7 @@
 // run restores keys, divides classes and claims shards, at each change of the keys
 // and at least every pollPeriod.
 func (t *Tenure) run(ctx context.Context) {
-	cancel := t.config.Clock.Every(pollPeriod, func(time.Duration) { signal(t.wake) })
+	cancel := t.config.Clock.Every(pollPeriod, func(time.Duration) { timer.Signal(t.wake) })
 	defer cancel()
 	for {
 		select {
--- a/internal/process/timer/timer.go
+++ b/internal/process/timer/timer.go
@@ -105,8 +105,14 @@
 }
 
 func (s *Service) wakeUp() {
+	Signal(s.wake)
+}
+
+// Signal wakes the receiver of a channel with a buffer of one, without blocking.
+// Callbacks use it to leave work that may wait to a goroutine of its own.
+func Signal(channel chan<- struct{}) {
 	select {
-	case s.wake <- struct{}{}:
+	case channel <- struct{}{}:
 	default:
 	}
 }
