fake/agent: gangs

Change: Config.Gang and Config.GangTime. The members of a run hold their capacity from their starts, work from the moment at which all are present, end done together and end broken with a member that ends otherwise; one that waits for GangTime ends alone and is listed by Lonely. One acknowledged end done stands for the whole gang. A member that arrives after its run has ended forms a new, incomplete run and ends alone; the protocol does not say.

--- a/internal/fake/agent/agent.go
+++ b/internal/fake/agent/agent.go
@@ -25,6 +25,12 @@
 	Fails func(task cairnbay.WorkflowTask, attempt int) bool
 	// Size is what a task takes.
 	Size func(task cairnbay.WorkflowTask) cairnbay.Resources
+	// Gang is the number of tasks of a task's gang, 0 for a task that belongs to
+	// none; nil for no gangs. A gang works from the moment at which all members of
+	// one run are present, for the longest run time of its tasks.
+	Gang func(task cairnbay.WorkflowTask) int
+	// GangTime is how long a member waits for the others.
+	GangTime time.Duration
 }
 
 // Fleet is a set of workers.
@@ -45,6 +51,11 @@
 	ended   map[string]map[cairnbay.WorkflowTask]bool
 	// begun is when a task last began.
 	begun map[cairnbay.WorkflowTask]time.Duration
+	// gangs are the gangs of which members run. lonely are the ends of members that
+	// waited too long, and together the tasks that ended done at once, by each.
+	gangs    map[gangRun]*gang
+	lonely   []LonelyEnd
+	together map[cairnbay.WorkflowTask][]cairnbay.WorkflowTask
 }
 
 type worker struct {
@@ -67,8 +78,10 @@
 }
 
 type run struct {
-	attempt     int
+	attempt int
+	// began and ends are not used for a member of a gang, which is set for one.
 	began, ends time.Duration
+	gang        *gang
 }
 
 // lastsFrom is the run time from which a task counts as one that lasts.
@@ -76,10 +89,17 @@
 
 // percent is the progress that a worker shows of a run.
 func (r run) percent(now time.Duration) int {
-	if r.ends-r.began >= lastsFrom {
+	if r.gang != nil {
+		return r.gang.percent(now)
+	}
+	return percent(r.began, r.ends, now)
+}
+
+func percent(began, ends, now time.Duration) int {
+	if ends-began >= lastsFrom {
 		return 100
 	}
-	return int(100 * (now - r.began) / max(r.ends-r.began, 1))
+	return int(100 * (now - began) / max(ends-began, 1))
 }
 
 // lateOrder is a start that is carried out at a later time.
@@ -94,7 +114,8 @@
 	return &Fleet{
 		config: config, workers: make(map[string]*worker), done: make(map[cairnbay.WorkflowTask]bool),
 		started: make(map[string]bool), ended: make(map[string]map[cairnbay.WorkflowTask]bool),
-		begun: make(map[cairnbay.WorkflowTask]time.Duration),
+		begun: make(map[cairnbay.WorkflowTask]time.Duration), gangs: make(map[gangRun]*gang),
+		together: make(map[cairnbay.WorkflowTask][]cairnbay.WorkflowTask),
 	}
 }
 
@@ -124,7 +145,14 @@
 func (f *Fleet) Crash(id string) {
 	f.set(id, func(w *worker) {
 		w.gone = true
+		var gangs []*gang
+		for _, task := range w.inOrder() {
+			gangs = append(gangs, w.running[task].gang)
+		}
 		clear(w.running)
+		for _, one := range gangs {
+			f.endGang(one, cairnbay.AgentGangEnded)
+		}
 	})
 }
 
@@ -188,6 +216,7 @@
 		for _, task := range w.inOrder() {
 			one := w.running[task]
 			switch {
+			case one.gang != nil:
 			case w.lease < min(now, one.ends):
 				w.lapsed = true
 				f.end(w, task, one, cairnbay.AgentLapsed)
@@ -198,6 +227,7 @@
 			}
 		}
 	}
+	f.settleGangs(now)
 	var later []lateOrder
 	for _, order := range f.late {
 		if order.at > now {
@@ -223,6 +253,7 @@
 	w.sequence++
 	w.endedAt[w.sequence] = f.config.Now()
 	w.ends = append(w.ends, cairnbay.AgentEnd{Sequence: w.sequence, Task: task, Attempt: one.attempt, Reason: reason})
+	f.endGang(one.gang, cairnbay.AgentGangEnded)
 }
 
 // call finds the worker of a call; answers says whether it answers.
@@ -272,7 +303,13 @@
 		return cairnbay.ErrStaleAttempt
 	}
 	f.judge(w, target, order)
-	w.running[order.Task] = run{order.Attempt, now, now + f.config.RunTime(order.Task)}
+	replaced := w.running[order.Task].gang
+	one := run{attempt: order.Attempt, gang: f.join(target.Worker, w, order, now)}
+	if one.gang == nil {
+		one.began, one.ends = now, now+f.config.RunTime(order.Task)
+	}
+	w.running[order.Task] = one
+	f.endGang(replaced, cairnbay.AgentGangEnded)
 	f.starts++
 	f.begun[order.Task] = now
 	f.started[order.Task.Job] = true
@@ -340,10 +377,7 @@
 			return false
 		}
 		if end.Reason == cairnbay.AgentDone {
-			f.done[end.Task] = true
-			if f.begun[end.Task] > w.endedAt[end.Sequence] && !w.lapsed {
-				f.broken = append(f.broken, fmt.Sprintf("%v started again after an end that is acknowledged now", end.Task))
-			}
+			f.acknowledged(w, end)
 		}
 		return true
 	})
@@ -360,6 +394,16 @@
 	return state, nil
 }
 
+// acknowledged notes an end done, of a whole gang for any of its members.
+func (f *Fleet) acknowledged(w *worker, end cairnbay.AgentEnd) {
+	for _, task := range f.represented(end.Task) {
+		f.done[task] = true
+		if f.begun[task] > w.endedAt[end.Sequence] && !w.lapsed {
+			f.broken = append(f.broken, fmt.Sprintf("%v started again after an end that is acknowledged now", task))
+		}
+	}
+}
+
 // Started says whether any task of a job has begun.
 func (f *Fleet) Started(job string) bool {
 	f.mu.Lock()
