gate: do not start the rest of a spread job that was cancelled

Seen in a test: a job that is spread over shards, of which one portion was refused (504), is cancelled (200); the caller's repeated submission is then accepted, and the missing portion starts: 8 tasks run after the cancellation was confirmed. Cause: portions are submitted one after the other. The first owner answers a repetition with "accepted", as it has the job, whatever became of it. Change: its answer says that the job was cancelled, and the gate submits no more. Only a divided class is concerned. What stays: a cancellation while the portions of a submission are still under way.

--- a/internal/process/drive/submit.go
+++ b/internal/process/drive/submit.go
@@ -28,6 +28,9 @@
 	Reason string
 	// RetryAfter is the minimum wait before a refused submission is repeated.
 	RetryAfter time.Duration
+	// Cancelled says of an accepted job that it was submitted before and has been
+	// cancelled since.
+	Cancelled bool
 }
 
 const (
@@ -99,7 +102,10 @@
 	refused := Verdict{Kind: cairnbayv1.SubmitVerdict_SUBMIT_VERDICT_REFUSED}
 	switch {
 	case d.core.HasJob(workflow.ID):
-		return Verdict{Kind: cairnbayv1.SubmitVerdict_SUBMIT_VERDICT_ACCEPTED}, nil
+		return Verdict{
+			Kind:      cairnbayv1.SubmitVerdict_SUBMIT_VERDICT_ACCEPTED,
+			Cancelled: d.core.State(workflow.ID) == cairnbay.WorkflowCancelled,
+		}, nil
 	case d.fenced || d.ctx.Err() != nil:
 		return Verdict{Kind: cairnbayv1.SubmitVerdict_SUBMIT_VERDICT_NOT_OWNER}, nil
 	case !d.loaded:
--- a/internal/process/relay/relay.go
+++ b/internal/process/relay/relay.go
@@ -77,6 +77,7 @@
 	verdict := owner.Submit(ctx, workflow)
 	return connect.NewResponse(&cairnbayv1.SubmitWorkflowResponse{
 		Verdict: verdict.Kind, Reason: verdict.Reason, RetryAfterMs: verdict.RetryAfter.Milliseconds(),
+		Cancelled: verdict.Cancelled,
 	}), nil
 }
 
--- a/internal/request/gate/submit.go
+++ b/internal/request/gate/submit.go
@@ -63,7 +63,8 @@
 
 // submitAll submits each assignment of a workflow to its owner, one after the other. If
 // a later one is not accepted, the first ones have been: the job is uncertain until a
-// repeated submission completes it. Errors: errNoOwner, those of submitToOwner.
+// repeated submission completes it. If the job has been cancelled meanwhile, the
+// missing ones must not start. Errors: errNoOwner, those of submitToOwner.
 func (g *Gate) submitAll(ctx context.Context, workflow *cairnbay.Workflow, callerReq *callerRequest) (drive.Verdict, error) {
 	divided, ok := g.awaitLayout(ctx, workflow.Class)
 	if !ok {
@@ -74,7 +75,7 @@
 		callerReq.maybeDelivered = callerReq.maybeDelivered || i > 0
 		var err error
 		verdict, err = g.submitToOwner(ctx, assigned.Shard, &assigned.Workflow, callerReq)
-		if err != nil || verdict.Kind != cairnbayv1.SubmitVerdict_SUBMIT_VERDICT_ACCEPTED {
+		if err != nil || verdict.Kind != cairnbayv1.SubmitVerdict_SUBMIT_VERDICT_ACCEPTED || verdict.Cancelled {
 			return verdict, err
 		}
 	}
@@ -141,6 +142,7 @@
 	return drive.Verdict{
 		Kind: result.GetVerdict(), Reason: result.GetReason(),
 		RetryAfter: time.Duration(result.GetRetryAfterMs()) * time.Millisecond,
+		Cancelled:  result.GetCancelled(),
 	}, nil
 }
 
