soak: one job in four is a gang

Change: every fourth job of a caller has gangs of 2 to 6 members as its steps, and the fleet knows them. The draws of a seed are as before. Ends alone are printed and counted; they fail no run, since a fault is nearly always near. stand.Job has a parameter for it.

--- a/internal/tool/soak/callers.go
+++ b/internal/tool/soak/callers.go
@@ -37,12 +37,16 @@
 	settleWait = 45 * time.Second
 	// cancelShare is one in so many accepted jobs that is cancelled.
 	cancelShare = 12
+	// gangShare is one in so many jobs of a caller whose steps are gangs, of one
+	// member more than another job has tasks: a gang of one never waits.
+	gangShare = 4
 )
 
 // job is one submission with what became of it.
 type job struct {
 	id           string
 	steps, tasks int
+	gang         bool
 	outcome      outcome
 }
 
@@ -74,9 +78,15 @@
 					return
 				case <-time.After(time.Duration(random.Int64N(int64(pauseMost)))):
 				}
-				c.submit(ctx, random, &job{
+				one := &job{
 					id: fmt.Sprintf("%08x%08x", n, number), steps: 1 + random.IntN(2), tasks: 1 + random.IntN(5),
-				})
+				}
+				if number%gangShare == 0 {
+					one.gang = true
+					one.tasks++
+					c.world.gangs.Store(one.id, one.tasks)
+				}
+				c.submit(ctx, random, one)
 			}
 		})
 	}
@@ -87,15 +97,40 @@
 	c.done.Wait()
 }
 
-func (c *callers) count(of outcome) (count int) {
+// count counts the jobs with an outcome, and the gangs among them.
+func (c *callers) count(of outcome) (count, gangs int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, job := range c.jobs {
-		if job.outcome == of {
-			count++
+		if job.outcome != of {
+			continue
 		}
+		count++
+		if job.gang {
+			gangs++
+		}
+	}
+	return count, gangs
+}
+
+// summarise prints the counts of a run and the ends of gang members that waited too
+// long. Nearly always a fault is near such an end, so it breaks no promise.
+func (c *callers) summarise() {
+	w := c.world
+	lonely := w.fleet.Lonely()
+	for _, end := range lonely {
+		fmt.Fprintf(w.config.Out, "%6.2f s  alone: member %d of step %d of job %s, attempt %d on %s\n",
+			(end.At - w.began).Seconds(), end.Task.Index, end.Task.Step, end.Task.Job, end.Attempt, end.Worker)
+	}
+	fmt.Fprintf(w.config.Out, "seed %d: %d faults", w.config.Seed, w.faults)
+	for _, one := range []struct {
+		outcome outcome
+		name    string
+	}{{accepted, "jobs accepted"}, {refused, "refused"}, {uncertain, "uncertain"}, {cancelled, "cancelled"}} {
+		count, gangs := c.count(one.outcome)
+		fmt.Fprintf(w.config.Out, ", %d %s (%d gangs)", count, one.name, gangs)
 	}
-	return count
+	fmt.Fprintf(w.config.Out, ", %d starts, %d ends alone\n", w.fleet.Starts(), len(lonely))
 }
 
 // submit tries a job until it is accepted, and cancels a few.
@@ -104,7 +139,7 @@
 	c.jobs = append(c.jobs, one)
 	c.mu.Unlock()
 	for range tries {
-		status, _ := c.call(ctx, random, http.MethodPost, one.id, stand.Job(one.steps, one.tasks, taskSize))
+		status, _ := c.call(ctx, random, http.MethodPost, one.id, stand.Job(one.steps, one.tasks, taskSize, one.gang))
 		switch status {
 		case http.StatusOK:
 			one.outcome = accepted
--- a/internal/tool/soak/faults.go
+++ b/internal/tool/soak/faults.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"cairnbay/internal/fake/proxy"
+	"cairnbay/internal/process/timer"
 	"cairnbay/platform"
 )
 
@@ -31,6 +32,7 @@
 // injectUntil draws faults until the deadline.
 func (w *world) injectUntil(ctx context.Context, random *rand.Rand, deadline time.Time) {
 	began := time.Now()
+	w.began = timer.Boot()
 	for ctx.Err() == nil && time.Now().Before(deadline) {
 		time.Sleep(time.Duration(random.Int64N(int64(gapMost))))
 		length := time.Duration(random.Int64N(int64(lengthMost)))
--- a/internal/tool/soak/soak.go
+++ b/internal/tool/soak/soak.go
@@ -101,8 +101,7 @@
 	w.heal()
 	calls.finish()
 	broken := append(w.fleet.Broken(), calls.check(ctx)...)
-	fmt.Fprintf(config.Out, "seed %d: %d faults, %d jobs accepted, %d refused, %d uncertain, %d cancelled, %d starts\n",
-		config.Seed, w.faults, calls.count(accepted), calls.count(refused), calls.count(uncertain), calls.count(cancelled), w.fleet.Starts())
+	calls.summarise()
 	if len(broken) > 0 {
 		for _, one := range broken {
 			fmt.Fprintln(config.Out, "BROKEN:", one)
--- a/internal/tool/soak/world.go
+++ b/internal/tool/soak/world.go
@@ -30,6 +30,9 @@
 	prefix = "/q/"
 	// runTime is how long a task runs.
 	runTime = 250 * time.Millisecond
+	// gangTime is how long a member of a gang waits for the others, the shortest
+	// time of the platform.
+	gangTime = 3 * time.Second
 	// proxyDelay is what a delaying proxy adds to each piece of bytes.
 	proxyDelay = 120 * time.Millisecond
 	// grace is the time from the stop signal to the kill; the settings say so too.
@@ -60,6 +63,10 @@
 	version  int
 	faults   int
 	later    sync.WaitGroup
+	// gangs are the numbers of members of the jobs whose steps are gangs, by job ID.
+	gangs sync.Map
+	// began is the boot time at which the schedule of faults began.
+	began time.Duration
 
 	mu        sync.Mutex
 	processes []*exec.Cmd
@@ -74,6 +81,7 @@
 		RunTime: func(cairnbay.WorkflowTask) time.Duration { return runTime },
 		Fails:   func(task cairnbay.WorkflowTask, attempt int) bool { return task.Index == 1 && attempt%3 == 1 },
 		Size:    func(cairnbay.WorkflowTask) cairnbay.Resources { return taskSize },
+		Gang:    func(task cairnbay.WorkflowTask) int { return w.gangSize(task.Job) }, GangTime: gangTime,
 	})
 	storeAddress, err := w.serve(stand.Store(w.store))
 	if err != nil {
@@ -121,6 +129,15 @@
 	return w, nil
 }
 
+// gangSize is the number of members of a job's gangs, 0 for a job without them.
+func (w *world) gangSize(job string) int {
+	members, ok := w.gangs.Load(job)
+	if !ok {
+		return 0
+	}
+	return members.(int)
+}
+
 func (w *world) serve(handler http.Handler) (address string, err error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
