sched: send the first stop to a worker that counts as unreachable

Cause: planStops passes over workers that count as unreachable. Change: such a worker gets each stop once; it is repeated only when the worker answers. A stop is idempotent and its token fences it, so one that arrives late does no harm. Test: late_gang_test.go, "without a wait for the worker"; failed before.

--- a/internal/process/sched/late_gang_test.go
+++ b/internal/process/sched/late_gang_test.go
@@ -83,3 +83,32 @@
 		Expect(starts[2:4]).To(ConsistOf("w1", "w2"))
 	})
 })
+
+var _ = Describe("a gang whose member runs on a worker that does not answer", func() {
+	It("has that member stopped without a wait for the worker, and again once it answers", func() {
+		now := sched.Moment{BootTime: time.Second, UnixMS: 1000}
+		core := sched.New(config)
+		for _, id := range []string{"w0", "w1"} {
+			core.SetWorker(cairnbay.WorkerEntry{ID: id, Address: id, Capacity: cores(1, 1000)})
+			core.HandleHold(now, id, now.BootTime, cairnbay.AgentState{})
+		}
+		job := singleStep("g", meshes, 2, cores(1, 100), time.Second)
+		job.Steps[0].Gang = true
+		core.Accept(now, job, false)
+		starts := core.Plan(now)
+		Expect(starts).To(HaveLen(2))
+		silent := starts[0].Start.Target.Worker
+		core.HandleStart(now, starts[0].Start, nil)
+		core.SetReachable(silent, false)
+		core.HandleStart(now, starts[1].Start, cairnbay.ErrNoRoom)
+
+		stops := core.Plan(now)
+		Expect(stops).To(HaveLen(1))
+		Expect(stops[0].Stop.Target.Worker).To(Equal(silent))
+		core.HandleStop(now, stops[0].Stop, cairnbay.ErrUnknown)
+		now.BootTime += 2 * time.Second
+		Expect(core.Plan(now)).To(BeEmpty())
+		core.SetReachable(silent, true)
+		Expect(core.Plan(now)).To(HaveLen(1))
+	})
+})
--- a/internal/process/sched/plan.go
+++ b/internal/process/sched/plan.go
@@ -107,7 +107,12 @@
 				attempt.stopCause = CauseStartUnanswered
 				c.abortGang(attempt)
 			}
-			if attempt.stopCause == "" || attempt.stopInFlight || worker.unreachable {
+			if attempt.stopCause == "" || attempt.stopInFlight {
+				continue
+			}
+			// A call to the worker has failed, but its orders may arrive. So it gets each
+			// stop once; it is repeated once the worker answers.
+			if worker.unreachable && attempt.stopSentAt > 0 {
 				continue
 			}
 			if attempt.stopSentAt > 0 && now.BootTime-attempt.stopSentAt < stopRetryInterval {
