tenure: do not claim or register while resigning

Seen in tests: an instance that is stopped while it claims a shard writes the owner key without a lease, so that the key never lapses and no other instance can follow; one that is stopped while it renews a lapsed lease registers again. Cause: Resign clears the lease while a claim or a renewal waits for the store, and both went on without a look at it. Change: a claim looks before its write and after it; a lease that was granted meanwhile is revoked.

--- a/internal/process/tenure/claim.go
+++ b/internal/process/tenure/claim.go
@@ -239,11 +239,15 @@
 		return
 	}
 	t.mu.Lock()
-	lease, expected := t.lease, cairnbay.Revision(0)
+	lease, expected, stopping := t.lease, cairnbay.Revision(0), t.stopping
 	if owner := t.owners[shard]; owner.Instance == t.config.Instance {
 		expected = owner.revision
 	}
 	t.mu.Unlock()
+	// Resign may have come during the read. An owner key without a lease never lapses.
+	if stopping || lease == 0 {
+		return
+	}
 	claimedAt := t.config.BootTime()
 	// The write has a time of its own: if a slow store carries it out after it was
 	// given up, the shard has an owner that does not know of it.
@@ -258,14 +262,17 @@
 		t.mu.Unlock()
 		return
 	}
-	t.mu.Lock()
-	healthyFor := claimedAt - t.storeHealthySince
-	t.mu.Unlock()
 	claim := Claim{
-		Shard: shard, Token: uint64(revision), Generation: generation + 1, ClaimedAt: claimedAt, AfterRestart: afterRestart, StoreHealthyFor: healthyFor,
+		Shard: shard, Token: uint64(revision), Generation: generation + 1, ClaimedAt: claimedAt, AfterRestart: afterRestart,
 		Fence: cairnbay.Expectation{Key: fence.Key, Revision: revision},
 	}
 	t.mu.Lock()
+	if t.stopping {
+		// Resign has come during the write; the key goes with the lease.
+		t.mu.Unlock()
+		return
+	}
+	claim.StoreHealthyFor = claimedAt - t.storeHealthySince
 	t.claims[shard] = claim
 	t.everClaimed[shard] = true
 	t.setOwner(shard, Owner{t.config.Instance, t.config.Address, claim.Generation, revision})
--- a/internal/process/tenure/tenure.go
+++ b/internal/process/tenure/tenure.go
@@ -395,8 +395,17 @@
 		return false
 	}
 	t.mu.Lock()
-	t.lease = lease
+	if stopping = t.stopping; !stopping {
+		t.lease = lease
+	}
 	t.mu.Unlock()
+	if stopping {
+		// Resign has come during the calls, and does not know of this lease.
+		if err := t.config.Store.Revoke(ctx, lease); err != nil {
+			t.config.Log.WithError(err).Warn("store lease not revoked")
+		}
+		return true
+	}
 	t.renewedAt = sent
 	return t.register(ctx, lease)
 }
