sched: a gang's checkpoint does not give way to that of an earlier attempt

The comparison is now with the latest attempt of any member, for listed checkpoints as well as for those of ends.

--- a/internal/process/sched/inherit_test.go
+++ b/internal/process/sched/inherit_test.go
@@ -49,3 +49,25 @@
 		Expect(actions[0].Start.Checkpoint).To(Equal("later"))
 	})
 })
+
+var _ = Describe("a gang of which a former owner started two runs", func() {
+	It("resumes from the checkpoint of the later run, whichever worker answers last", func() {
+		s := newSuccession("a", "b")
+		later := member(0, formerAttempt+1, 50)
+		later.Checkpoint = "later"
+		s.answers("a", runs(later))
+		earlier := end(1, task("g", 1), formerAttempt, cairnbay.AgentStopped)
+		earlier.Checkpoint = "earlier"
+		s.answers("b", cairnbay.AgentState{Ended: []cairnbay.AgentEnd{earlier}})
+		s.core.EndRecovery()
+		s.plan()
+		s.answers("a", cairnbay.AgentState{Ended: []cairnbay.AgentEnd{end(1, task("g", 0), formerAttempt+1, cairnbay.AgentLapsed)}})
+		s.now.BootTime += tick
+		s.core.Tick()
+		actions := s.core.Plan(s.now)
+		Expect(actions).To(HaveLen(2))
+		for _, action := range actions {
+			Expect(action.Start.Checkpoint).To(Equal("later"))
+		}
+	})
+})
--- a/internal/process/sched/job.go
+++ b/internal/process/sched/job.go
@@ -183,6 +183,18 @@
 	}
 }
 
+// latestAttempt is the highest attempt number that is known of a task, or of any member
+// of its gang; 0 for none.
+func (s *stage) latestAttempt(task *task) int {
+	latest := task.lastAttempt
+	if s.spec.Gang {
+		for i := range s.tasks {
+			latest = max(latest, s.tasks[i].lastAttempt)
+		}
+	}
+	return latest
+}
+
 // finish marks a task as done.
 func (s *stage) finish(task *task) {
 	if task.done {
--- a/internal/process/sched/place.go
+++ b/internal/process/sched/place.go
@@ -76,11 +76,7 @@
 	if stage.spec.SameRack {
 		groups = append(byRack(candidates), candidates)
 	}
-	number := c.config.AttemptBase
-	for i := range stage.tasks {
-		number = max(number, stage.tasks[i].lastAttempt)
-	}
-	number++
+	number := max(c.config.AttemptBase, stage.latestAttempt(&stage.tasks[0])) + 1
 	for _, group := range groups {
 		if placed := c.placeGangOn(now, stage, group, number); placed != nil {
 			return placed
--- a/internal/process/sched/result.go
+++ b/internal/process/sched/result.go
@@ -204,8 +204,8 @@
 		a.percent, a.percentAt = running.Percent, now.BootTime
 	}
 	c.checkProgress(now, a)
-	if running.Checkpoint != "" && a.task != nil {
-		a.stage.saveCheckpoint(a.task, running.Checkpoint)
+	if a.task != nil {
+		a.stage.saveCheckpoint(a.task, running.Attempt, running.Checkpoint)
 	}
 }
 
@@ -318,11 +318,8 @@
 	case cairnbay.AgentFailed:
 		records = c.handleFailure(now, w, stage, task, end.Attempt)
 	default:
-		// A former owner may have ordered the attempt. The checkpoint of an earlier one
-		// does not replace that of a later one.
-		if end.Checkpoint != "" && end.Attempt == task.lastAttempt {
-			stage.saveCheckpoint(task, end.Checkpoint)
-		}
+		// A former owner may have ordered the attempt, so it need not be attached.
+		stage.saveCheckpoint(task, end.Attempt, end.Checkpoint)
 	}
 	if a != nil {
 		c.detach(a)
@@ -386,9 +383,12 @@
 	return []Record{{RecordFailed, stage.ref(task.index), number}}
 }
 
-// saveCheckpoint stores the checkpoint for the next attempt; all members of a
-// gang share one.
-func (s *stage) saveCheckpoint(task *task, checkpoint string) {
+// saveCheckpoint stores an attempt's checkpoint for the next attempt, unless a later
+// attempt is known; all members of a gang share one. An empty one changes nothing.
+func (s *stage) saveCheckpoint(task *task, attempt int, checkpoint string) {
+	if checkpoint == "" || attempt < s.latestAttempt(task) {
+		return
+	}
 	if s.spec.Gang {
 		for i := range s.tasks {
 			s.tasks[i].checkpoint = checkpoint
