sched: do not count cancelled gangs as incomplete

"incomplete_gangs" of "former owner settled" contained gangs that ran whole and whose job was cancelled; their stops were right. Test: succession_test.go, failed before. A second spec guards the check of a gang that is done, which no test did.

--- a/internal/process/sched/gang.go
+++ b/internal/process/sched/gang.go
@@ -74,7 +74,8 @@
 // one attempt number, and reports whether it did. The others would wait for the
 // missing ones in vain: the owner starts a gang only as a whole.
 func (c *Core) stopIncompleteGang(stage *stage) bool {
-	if !stage.spec.Gang || stage.liveAttempts == 0 || stage.gangAborting || stage.done == len(stage.tasks) || stage.gangComplete() {
+	if !stage.spec.Gang || stage.job.ended || stage.liveAttempts == 0 || stage.gangAborting ||
+		stage.done == len(stage.tasks) || stage.gangComplete() {
 		return false
 	}
 	for i := range stage.tasks {
--- a/internal/process/sched/succession_test.go
+++ b/internal/process/sched/succession_test.go
@@ -215,3 +215,24 @@
 		Expect(s.plan().stops).To(BeEmpty())
 	})
 })
+
+var _ = Describe("the number of gangs that a former owner left incomplete", func() {
+	It("does not contain a gang that was cancelled while it ran whole", func() {
+		s := newSuccession("a", "b")
+		s.core.Cancel(s.now, "g")
+		s.answers("a", runs(member(0, formerAttempt, 50)))
+		s.answers("b", runs(member(1, formerAttempt, 50)))
+		Expect(s.core.EndRecovery()).To(BeZero())
+	})
+})
+
+var _ = Describe("a gang of which one member's end done is known when the recovery ends", func() {
+	It("is not stopped, though the others are still listed as running", func() {
+		s := newSuccession("a", "b", "c")
+		s.answers("a", runs(member(0, formerAttempt, 99)))
+		s.answers("b", cairnbay.AgentState{Ended: []cairnbay.AgentEnd{end(1, task("g", 1), formerAttempt, cairnbay.AgentDone)}})
+		s.answers("c", runs())
+		Expect(s.core.EndRecovery()).To(BeZero())
+		Expect(s.plan().stops).To(BeEmpty())
+	})
+})
