sched: stop an incomplete gang during the recovery if it shows no progress

Change: during the recovery, a gang of which members are not known and a listed one shows no progress for a second is stopped. A gang that works shows some by then. It starts again when the recovery has ended, as every inherited job.

--- a/internal/process/drive/succession_test.go
+++ b/internal/process/drive/succession_test.go
@@ -249,3 +249,44 @@
 		Expect(c.fleet.Broken()).To(BeEmpty())
 	})
 })
+
+var _ = Describe("a gang that a former owner left incomplete", func() {
+	It("is stopped before its members end alone, though a worker is silent for longer", func() {
+		// The values of the platform: gang-ms, the workers' lease, and the time in which
+		// the store finds that an owner is gone.
+		const (
+			waitTime = 3 * time.Second
+			takeover = 1400 * time.Millisecond
+		)
+		c := newGangCluster()
+		c.lease = 5 * time.Second
+		size := cairnbay.Resources{MilliCPU: 4000, MemoryMB: 400}
+		c.fleet = agent.New(agent.Config{
+			Now:     timer.Boot,
+			RunTime: func(cairnbay.WorkflowTask) time.Duration { return time.Second },
+			Size:    func(cairnbay.WorkflowTask) cairnbay.Resources { return size },
+			Gang:    func(cairnbay.WorkflowTask) int { return gangMembers }, GangTime: waitTime,
+		})
+		c.workers = nil
+		for i := range gangMembers + 1 {
+			id := fmt.Sprint("w", i)
+			c.workers = append(c.workers, id)
+			c.fleet.Add(id, size)
+		}
+		c.faulty.Fleet = c.fleet
+		former := c.startOwner()
+		c.submitPart(former, "j")
+		occupied := c.running()
+		for _, id := range c.workers {
+			if _, ok := occupied[id]; !ok {
+				c.fleet.Cut(id, true)
+				break
+			}
+		}
+		former.Close()
+		time.Sleep(takeover)
+		next := c.startOwner()
+		DeferCleanup(next.Close)
+		Consistently(c.fleet.Lonely, waitTime, "50ms").Should(BeEmpty())
+	})
+})
--- a/internal/process/sched/gang.go
+++ b/internal/process/sched/gang.go
@@ -88,6 +88,27 @@
 	return true
 }
 
+const (
+	// gangBeginTimeout is how long an inherited member may show no progress while
+	// others of its gang are not known. It is well below the time for which a member
+	// waits for the others.
+	gangBeginTimeout = time.Second
+	// gangBeginShare is the part of its estimated run time within which a complete
+	// gang certainly shows its first percent.
+	gangBeginShare = 50
+)
+
+// waitsInVain reports whether an inherited attempt belongs to a gang that has
+// certainly not begun to work, though workers that may run its other members have not
+// answered yet. Such a worker may stay silent for longer than the members wait.
+func (c *Core) waitsInVain(now Moment, a *attempt) bool {
+	if !c.blockInherited || !a.stage.spec.Gang || a.percent > 0 || a.stage.gangComplete() {
+		return false
+	}
+	limit := max(gangBeginTimeout, c.runTime(a.stage.job.workflow.Queue.Name, a.stage.spec)/gangBeginShare)
+	return now.BootTime-a.startedAt > limit
+}
+
 // gangComplete reports whether every member is attached under one attempt number.
 func (s *stage) gangComplete() bool {
 	for i := range s.tasks {
--- a/internal/process/sched/result.go
+++ b/internal/process/sched/result.go
@@ -216,6 +216,10 @@
 	if a.stage == nil || a.stopCause != "" || a.phase != phaseRunning || a.stage.spec.BestEffort {
 		return
 	}
+	if c.waitsInVain(now, a) {
+		c.stopIncompleteGang(a.stage)
+		return
+	}
 	limit := stallTimeout
 	if a.stage.spec.LongRunning {
 		if a.percent >= startedUpPercent {
--- a/internal/process/sched/succession_test.go
+++ b/internal/process/sched/succession_test.go
@@ -155,6 +155,22 @@
 		s.expectRestart(2)
 	})
 
+	It("is stopped during the recovery if it shows no progress for a second", func() {
+		s := newSuccession("a", "b")
+		s.answers("a", runs(member(0, formerAttempt, 0)))
+		s.now.BootTime += time.Second
+		s.answers("a", runs(member(0, formerAttempt, 0)))
+		Expect(s.plan().stops).To(BeEmpty())
+		s.answers("a", runs(member(0, formerAttempt, 0)))
+		planned := s.plan()
+		Expect(planned.stops).To(Equal(map[cairnbay.WorkflowTask]int{task("g", 0): formerAttempt}))
+		s.answers("a", cairnbay.AgentState{Ended: []cairnbay.AgentEnd{end(1, task("g", 0), formerAttempt, cairnbay.AgentStopped)}})
+		Expect(s.plan().starts).To(BeEmpty(), "before the recovery ends")
+		s.answers("b", runs())
+		s.core.EndRecovery()
+		s.expectRestart(2)
+	})
+
 	It("is not stopped while its other members may run on a silent worker", func() {
 		s := newSuccession("a", "b", "c")
 		s.answers("a", runs(member(0, formerAttempt, 0)))
