fake/agent, sched: names of incomplete gangs

One word for one thing: ends of members of incomplete gangs were "lonely" in the stand-in and "alone" or "incomplete" elsewhere. No change of behaviour.

--- a/internal/fake/agent/agent.go
+++ b/internal/fake/agent/agent.go
@@ -51,11 +51,11 @@
 	ended   map[string]map[cairnbay.WorkflowTask]bool
 	// begun is when a task last began.
 	begun map[cairnbay.WorkflowTask]time.Duration
-	// gangs are the gangs of which members run. lonely are the ends of members that
+	// gangs are the gangs of which members run. incomplete are the ends of members that
 	// waited too long, and together the tasks that ended done at once, by each.
-	gangs    map[gangRun]*gang
-	lonely   []LonelyEnd
-	together map[cairnbay.WorkflowTask][]cairnbay.WorkflowTask
+	gangs      map[gangRun]*gang
+	incomplete []IncompleteEnd
+	together   map[cairnbay.WorkflowTask][]cairnbay.WorkflowTask
 }
 
 type worker struct {
--- a/internal/fake/agent/gang.go
+++ b/internal/fake/agent/gang.go
@@ -46,21 +46,21 @@
 	task   cairnbay.WorkflowTask
 }
 
-// LonelyEnd is an end of a member that waited the gang time for the others. The
+// IncompleteEnd is an end of a member that waited the gang time for the others. The
 // others that wait with it end broken.
-type LonelyEnd struct {
+type IncompleteEnd struct {
 	Worker  string
 	Task    cairnbay.WorkflowTask
 	Attempt int
 	At      time.Duration
 }
 
-// Lonely lists the ends of members that waited the gang time for the others.
-func (f *Fleet) Lonely() []LonelyEnd {
+// IncompleteEnds lists the ends of members that waited the gang time for the others.
+func (f *Fleet) IncompleteEnds() []IncompleteEnd {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.settle()
-	return slices.Clone(f.lonely)
+	return slices.Clone(f.incomplete)
 }
 
 // gangSize is the number of tasks of a task's gang, 0 if it belongs to none.
@@ -142,7 +142,7 @@
 		f.endMember(g, first, cairnbay.AgentLapsed)
 	case dueAt > now:
 	case !g.complete:
-		f.lonely = append(f.lonely, LonelyEnd{g.members[0].id, g.members[0].task, g.run.attempt, dueAt})
+		f.incomplete = append(f.incomplete, IncompleteEnd{g.members[0].id, g.members[0].task, g.run.attempt, dueAt})
 		f.endMember(g, g.members[0], cairnbay.AgentGangIncomplete)
 	default:
 		for _, one := range g.members {
--- a/internal/fake/agent/gang_test.go
+++ b/internal/fake/agent/gang_test.go
@@ -132,7 +132,7 @@
 		b.now += time.Millisecond
 		Expect(b.fleet.Done("j")).To(Equal(members))
 		Expect(b.reasons()).To(Equal(each(cairnbay.AgentDone, cairnbay.AgentDone, cairnbay.AgentDone)))
-		Expect(b.fleet.Lonely()).To(BeEmpty())
+		Expect(b.fleet.IncompleteEnds()).To(BeEmpty())
 		Expect(b.fleet.Broken()).To(BeEmpty())
 	})
 
@@ -150,9 +150,9 @@
 		b.now += time.Second
 		b.start(1, 1)
 		b.now += time.Second - time.Millisecond
-		Expect(b.fleet.Lonely()).To(BeEmpty())
+		Expect(b.fleet.IncompleteEnds()).To(BeEmpty())
 		b.now += time.Millisecond
-		Expect(b.fleet.Lonely()).To(Equal([]agent.LonelyEnd{{Worker: "w0", Task: task(0), Attempt: 1, At: startedAt + gangTime}}))
+		Expect(b.fleet.IncompleteEnds()).To(Equal([]agent.IncompleteEnd{{Worker: "w0", Task: task(0), Attempt: 1, At: startedAt + gangTime}}))
 		Expect(b.reasons()).To(Equal([][]cairnbay.AgentEndReason{{cairnbay.AgentGangIncomplete}, {cairnbay.AgentGangEnded}, nil}))
 		Expect(b.fleet.Done("j")).To(BeZero())
 		Expect(b.fleet.Broken()).To(BeEmpty())
@@ -165,7 +165,7 @@
 		b.now += runTime
 		Expect(b.percents()).To(Equal([]int{0, 0, 0}))
 		b.now += gangTime
-		Expect(b.fleet.Lonely()).To(HaveLen(2))
+		Expect(b.fleet.IncompleteEnds()).To(HaveLen(2))
 		Expect(b.fleet.Done("j")).To(BeZero())
 	})
 
@@ -182,7 +182,7 @@
 				expected[2] = nil
 			}
 			Expect(b.reasons()).To(Equal(expected))
-			Expect(b.fleet.Lonely()).To(BeEmpty())
+			Expect(b.fleet.IncompleteEnds()).To(BeEmpty())
 			Expect(b.fleet.Done("j")).To(BeZero())
 		},
 		Entry("stopped while it works", true, stopFirst, cairnbay.AgentStopped),
--- a/internal/process/drive/late_gang_test.go
+++ b/internal/process/drive/late_gang_test.go
@@ -80,9 +80,9 @@
 		time.Sleep(100 * time.Millisecond)
 	}
 	AddReportEntry("gangs", fmt.Sprintf("accepted %d, refused %d of %d, not done 20 s later %d, alone %d",
-		len(load.accepted), load.refused, load.offered, notDone(), len(c.fleet.Lonely())))
+		len(load.accepted), load.refused, load.offered, notDone(), len(c.fleet.IncompleteEnds())))
 	Expect(load.accepted).NotTo(BeEmpty())
-	Expect(c.fleet.Lonely()).To(BeEmpty())
+	Expect(c.fleet.IncompleteEnds()).To(BeEmpty())
 	Expect(notDone()).To(BeZero())
 	Expect(c.fleet.Broken()).To(BeEmpty())
 }
--- a/internal/process/drive/succession_test.go
+++ b/internal/process/drive/succession_test.go
@@ -156,7 +156,7 @@
 	next := c.startOwner()
 	DeferCleanup(next.Close)
 	Eventually(jobState(next, id), "10s").Should(Equal(cairnbay.WorkflowCompleted))
-	Expect(c.fleet.Lonely()).To(BeEmpty(), "members that ended alone")
+	Expect(c.fleet.IncompleteEnds()).To(BeEmpty(), "members that ended alone")
 	Expect(c.faulty.startedBy(c.token())()).To(ConsistOf(0, 1, 2, 3), "members started by the next owner")
 	Expect(c.faulty.lastStart(c.token()).Sub(claimedAt)).To(BeNumerically("<", gangRestart))
 	for _, run := range formerRuns {
@@ -175,7 +175,7 @@
 		c.submit(owner, "j")
 		Eventually(jobState(owner, "j"), "5s").Should(Equal(cairnbay.WorkflowCompleted))
 		Expect(c.fleet.Starts()).To(Equal(gangMembers))
-		Expect(c.fleet.Lonely()).To(BeEmpty())
+		Expect(c.fleet.IncompleteEnds()).To(BeEmpty())
 		Expect(c.fleet.Broken()).To(BeEmpty())
 	})
 
@@ -287,6 +287,6 @@
 		time.Sleep(takeover)
 		next := c.startOwner()
 		DeferCleanup(next.Close)
-		Consistently(c.fleet.Lonely, waitTime, "50ms").Should(BeEmpty())
+		Consistently(c.fleet.IncompleteEnds, waitTime, "50ms").Should(BeEmpty())
 	})
 })
--- a/internal/process/sched/gang.go
+++ b/internal/process/sched/gang.go
@@ -98,10 +98,10 @@
 	gangBeginShare = 50
 )
 
-// waitsInVain reports whether an inherited attempt belongs to a gang that has
+// inheritedGangStalled reports whether an inherited attempt belongs to a gang that has
 // certainly not begun to work, though workers that may run its other members have not
 // answered yet. Such a worker may stay silent for longer than the members wait.
-func (c *Core) waitsInVain(now Moment, a *attempt) bool {
+func (c *Core) inheritedGangStalled(now Moment, a *attempt) bool {
 	if !c.blockInherited || !a.stage.spec.Gang || a.percent > 0 || a.stage.gangComplete() {
 		return false
 	}
--- a/internal/process/sched/result.go
+++ b/internal/process/sched/result.go
@@ -216,7 +216,7 @@
 	if a.stage == nil || a.stopCause != "" || a.phase != phaseRunning || a.stage.spec.BestEffort {
 		return
 	}
-	if c.waitsInVain(now, a) {
+	if c.inheritedGangStalled(now, a) {
 		c.stopIncompleteGang(a.stage)
 		return
 	}
--- a/internal/process/tenure/tenure.go
+++ b/internal/process/tenure/tenure.go
@@ -196,8 +196,8 @@
 		owners: make(map[string]Owner), ownerRevisions: make(map[string]cairnbay.Revision), nodes: make(map[string]Node),
 		layouts:         make(map[string]layout.Layout),
 		lapsedNodes:     make(map[string]lapsedNode),
-		claimDelayStart: make(map[string]time.Duration), divideDelayStart: make(map[string]time.Duration), claims: make(map[string]Claim), everClaimed: make(map[string]bool),
-		changed: make(chan struct{}), storeHealthySince: config.BootTime(),
+		claimDelayStart: make(map[string]time.Duration), divideDelayStart: make(map[string]time.Duration),
+		claims: make(map[string]Claim), everClaimed: make(map[string]bool), changed: make(chan struct{}), storeHealthySince: config.BootTime(),
 	}
 	t.mirror = mirror.New(mirror.Config{
 		Store: config.Store, Prefix: livePrefix, Log: config.Log, StallTimeout: config.WatchStallTimeout, OnChange: t.onChange,
--- a/internal/tool/soak/callers.go
+++ b/internal/tool/soak/callers.go
@@ -117,8 +117,8 @@
 // long. Nearly always a fault is near such an end, so it breaks no promise.
 func (c *callers) summarise() {
 	w := c.world
-	lonely := w.fleet.Lonely()
-	for _, end := range lonely {
+	incomplete := w.fleet.IncompleteEnds()
+	for _, end := range incomplete {
 		fmt.Fprintf(w.config.Out, "%6.2f s  alone: member %d of step %d of job %s, attempt %d on %s\n",
 			(end.At - w.began).Seconds(), end.Task.Index, end.Task.Step, end.Task.Job, end.Attempt, end.Worker)
 	}
@@ -130,7 +130,7 @@
 		count, gangs := c.count(one.outcome)
 		fmt.Fprintf(w.config.Out, ", %d %s (%d gangs)", count, one.name, gangs)
 	}
-	fmt.Fprintf(w.config.Out, ", %d starts, %d ends alone\n", w.fleet.Starts(), len(lonely))
+	fmt.Fprintf(w.config.Out, ", %d starts, %d ends alone\n", w.fleet.Starts(), len(incomplete))
 }
 
 // submit tries a job until it is accepted, and cancels a few.
