sched, drive: log how long a lost worker is known to have run an attempt

A worker that crashes takes all its attempts with it, and the logs did not tell the one that it had just started from those that it had run for a minute. The figure is the worker's own: the time on its clock between two lists that name the attempt, so that an owner that handles answers late does not overstate it. The metric counts workers lost with attempts, by reason.

--- a/internal/process/drive/drive.go
+++ b/internal/process/drive/drive.go
@@ -340,9 +340,10 @@
 	for _, attempt := range lost {
 		d.config.Log.WithFields(logrus.Fields{
 			"job": attempt.Task.Job, "task": taskIndexes(attempt.Task), "attempt": attempt.Attempt, "worker": id,
+			"ran_at_least_ms": attempt.RanAtLeast.Milliseconds(),
 		}).Info("attempt lost")
 	}
-	d.meters.attemptsLost.Add(len(lost))
+	d.meters.workerLost(reason, len(lost))
 	d.resolveInherited(id)
 	d.requestPlan()
 }
--- a/internal/process/drive/meters.go
+++ b/internal/process/drive/meters.go
@@ -40,6 +40,14 @@
 	m.counter("cairnbay_attempts_ended_total", fmt.Sprintf(",reason=%q", reason)).Inc()
 }
 
+// workerLost counts a worker that was lost with some attempts.
+func (m meters) workerLost(reason string, attempts int) {
+	m.attemptsLost.Add(attempts)
+	if attempts > 0 {
+		m.counter("cairnbay_workers_lost_total", fmt.Sprintf(",reason=%q", reason)).Inc()
+	}
+}
+
 func (m meters) gangIncomplete(cause sched.IncompleteCause) {
 	m.counter("cairnbay_gangs_incomplete_total", fmt.Sprintf(",cause=%q", cause)).Inc()
 }
--- a/internal/process/sched/result.go
+++ b/internal/process/sched/result.go
@@ -178,7 +178,7 @@
 	listed := make(map[cairnbay.WorkflowTask]int, len(state.Running))
 	for _, running := range state.Running {
 		listed[running.Task] = running.Attempt
-		c.handleRunning(now, worker, running)
+		c.handleRunning(now, worker, running, state.Clock)
 	}
 	for ref, attempt := range worker.attempts {
 		if number, ok := listed[ref]; !ok || number != attempt.number {
@@ -188,8 +188,9 @@
 	return result
 }
 
-// handleRunning processes one running task of a worker's state.
-func (c *Core) handleRunning(now Moment, worker *worker, running cairnbay.AgentTask) {
+// handleRunning processes one running task of a worker's state. clock is the worker's
+// clock at that state.
+func (c *Core) handleRunning(now Moment, worker *worker, running cairnbay.AgentTask, clock time.Duration) {
 	a := worker.attempts[running.Task]
 	if a == nil {
 		a = c.adopt(now, worker, running)
@@ -200,6 +201,10 @@
 	if a.phase == phaseStarting || a.phase == phaseUncertain {
 		c.markRunning(now, a)
 	}
+	if !a.listed {
+		a.listed, a.listedAt = true, clock
+	}
+	a.ranAtLeast = max(a.ranAtLeast, clock-a.listedAt)
 	if running.Percent != a.percent {
 		a.percent, a.percentAt = running.Percent, now.BootTime
 	}
--- a/internal/process/sched/worker.go
+++ b/internal/process/sched/worker.go
@@ -69,6 +69,11 @@
 	phaseSince time.Duration
 	// startedAt is when the task was first known to run.
 	startedAt time.Duration
+	// listed is set once the worker has listed the attempt as running, listedAt is
+	// the worker's clock at that time and ranAtLeast how long the worker has listed
+	// it since.
+	listed               bool
+	listedAt, ranAtLeast time.Duration
 	// partial is set where the work began in an earlier attempt or under
 	// another owner. The run time of such an attempt is not used for estimates.
 	partial bool
@@ -213,6 +218,9 @@
 type LostAttempt struct {
 	Task    cairnbay.WorkflowTask
 	Attempt int
+	// RanAtLeast is how long the worker is known to have run the attempt, on its own
+	// clock.
+	RanAtLeast time.Duration
 }
 
 // HandleWorkerLoss removes a worker whose tasks have certainly ended and
@@ -223,7 +231,7 @@
 		return nil
 	}
 	for _, attempt := range lostWorker.attempts {
-		lost = append(lost, LostAttempt{attempt.ref, attempt.number})
+		lost = append(lost, LostAttempt{attempt.ref, attempt.number, attempt.ranAtLeast})
 		c.detach(attempt)
 		c.abortGang(attempt)
 	}
