--- a/internal/fake/agent/agent.go
+++ b/internal/fake/agent/agent.go
@@ -31,6 +31,8 @@
 	Gang func(task cairnbay.WorkflowTask) int
 	// GangTime is how long a member waits for the others.
 	GangTime time.Duration
+	// Crash says which tasks crash their workers.
+	Crash CrashPlan
 }
 
 // Fleet is a set of workers.
@@ -56,9 +58,15 @@
 	gangs      map[gangRun]*gang
 	incomplete []IncompleteEnd
 	together   map[cairnbay.WorkflowTask][]cairnbay.WorkflowTask
+	// crashes counts the workers that crashed under a deadly task.
+	crashes map[cairnbay.WorkflowTask]int
 }
 
 type worker struct {
+	// address is the ID of the first life at the worker's address, life the number
+	// of this one.
+	address  string
+	life     int
 	capacity cairnbay.Resources
 	lease    time.Duration
 	token    uint64
@@ -71,7 +79,11 @@
 	highest map[cairnbay.WorkflowTask]int
 	// cut workers get no calls; mute ones carry out calls without an answer.
 	cut, mute bool
-	gone      bool
+	// down workers have crashed and answer nothing until backAt; gone ones are
+	// replaced by another life.
+	down   bool
+	backAt time.Duration
+	gone   bool
 	// lapsed says that the lease has ended once; ends from before then do not
 	// forbid another start.
 	lapsed bool
@@ -79,6 +91,8 @@
 
 type run struct {
 	attempt int
+	// started is when the worker carried out the start.
+	started time.Duration
 	// began and ends are not used for a member of a gang, which is set for one.
 	began, ends time.Duration
 	gang        *gang
@@ -116,6 +130,7 @@
 		started: make(map[string]bool), ended: make(map[string]map[cairnbay.WorkflowTask]bool),
 		begun: make(map[cairnbay.WorkflowTask]time.Duration), gangs: make(map[gangRun]*gang),
 		together: make(map[cairnbay.WorkflowTask][]cairnbay.WorkflowTask),
+		crashes:  make(map[cairnbay.WorkflowTask]int),
 	}
 }
 
@@ -125,10 +140,17 @@
 func (f *Fleet) Add(id string, capacity cairnbay.Resources) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.workers[id] = &worker{
-		capacity: capacity, running: make(map[cairnbay.WorkflowTask]run),
+	f.add(id, capacity)
+}
+
+// add adds the first life of a worker; the caller holds the lock.
+func (f *Fleet) add(id string, capacity cairnbay.Resources) *worker {
+	added := &worker{
+		address: id, life: 1, capacity: capacity, running: make(map[cairnbay.WorkflowTask]run),
 		highest: make(map[cairnbay.WorkflowTask]int), endedAt: make(map[uint64]time.Duration),
 	}
+	f.workers[id] = added
+	return added
 }
 
 // Cut cuts a worker off, or heals it.
@@ -145,14 +167,7 @@
 func (f *Fleet) Crash(id string) {
 	f.set(id, func(w *worker) {
 		w.gone = true
-		var gangs []*gang
-		for _, task := range w.inOrder() {
-			gangs = append(gangs, w.running[task].gang)
-		}
-		clear(w.running)
-		for _, one := range gangs {
-			f.endGang(one, cairnbay.AgentGangEnded)
-		}
+		f.clear(w)
 	})
 }
 
@@ -209,6 +224,7 @@
 // settle carries out what time has brought; the caller holds the lock.
 func (f *Fleet) settle() {
 	now := f.config.Now()
+	f.settleCrashes(now)
 	for _, w := range f.workers {
 		if w.lease > 0 && w.lease < now {
 			w.lapsed = true
@@ -234,7 +250,7 @@
 			later = append(later, order)
 			continue
 		}
-		if w := f.workers[order.target.Worker]; !w.gone && !w.cut {
+		if w := f.workers[order.target.Worker]; !w.gone && !w.cut && !w.down {
 			_ = f.begin(w, order.target, order.order)
 		}
 	}
@@ -261,7 +277,7 @@
 	f.settle()
 	w = f.workers[target.Worker]
 	switch {
-	case w == nil || w.cut:
+	case w == nil || w.cut || w.down:
 		return nil, false, cairnbay.ErrUnknown
 	case w.gone:
 		return nil, false, cairnbay.ErrReplaced
@@ -304,7 +320,7 @@
 	}
 	f.judge(w, target, order)
 	replaced := w.running[order.Task].gang
-	one := run{attempt: order.Attempt, gang: f.join(target.Worker, w, order, now)}
+	one := run{attempt: order.Attempt, started: now, gang: f.join(target.Worker, w, order, now)}
 	if one.gang == nil {
 		one.began, one.ends = now, now+f.config.RunTime(order.Task)
 	}
--- /dev/null
+++ b/internal/fake/agent/crash.go
@@ -0,0 +1,109 @@
+package agent
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"cairnbay"
+)
+
+// CrashPlan says which tasks crash the worker that starts them.
+type CrashPlan struct {
+	// Deadly says whether a task crashes its workers; nil for none.
+	Deadly func(task cairnbay.WorkflowTask) bool
+	// After is the time from the start of such a task to the crash.
+	After time.Duration
+	// Downtime is how long a crashed worker is away. Then another life answers at its
+	// address.
+	Downtime time.Duration
+}
+
+// Life is one life of a worker.
+type Life struct {
+	ID, Address string
+	Capacity    cairnbay.Resources
+}
+
+// Lives lists the workers that answer, in order of their IDs.
+func (f *Fleet) Lives() []Life {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.settle()
+	var lives []Life
+	for id, w := range f.workers {
+		if !w.gone && !w.down {
+			lives = append(lives, Life{ID: id, Address: w.address, Capacity: w.capacity})
+		}
+	}
+	slices.SortFunc(lives, func(a, b Life) int { return strings.Compare(a.ID, b.ID) })
+	return lives
+}
+
+// CrashFor crashes a worker for the plan's downtime.
+func (f *Fleet) CrashFor(id string) {
+	f.set(id, func(w *worker) { f.crash(w, f.config.Now()) })
+}
+
+// Resize changes the capacity of a worker. What runs there goes on.
+func (f *Fleet) Resize(id string, capacity cairnbay.Resources) {
+	f.set(id, func(w *worker) { w.capacity = capacity })
+}
+
+// CrashCount is the number of workers that crashed under a deadly task.
+func (f *Fleet) CrashCount(task cairnbay.WorkflowTask) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.settle()
+	return f.crashes[task]
+}
+
+// crash ends all that runs on a worker, without ends that anybody sees; the caller
+// holds the lock.
+func (f *Fleet) crash(w *worker, now time.Duration) {
+	w.down, w.backAt = true, now+f.config.Crash.Downtime
+	f.clear(w)
+}
+
+// clear forgets what runs on a worker; the caller holds the lock.
+func (f *Fleet) clear(w *worker) {
+	var gangs []*gang
+	for _, task := range w.inOrder() {
+		gangs = append(gangs, w.running[task].gang)
+	}
+	clear(w.running)
+	for _, one := range gangs {
+		f.endGang(one, cairnbay.AgentGangEnded)
+	}
+}
+
+// settleCrashes crashes the workers under deadly tasks, and brings crashed ones back
+// under another ID; the caller holds the lock.
+func (f *Fleet) settleCrashes(now time.Duration) {
+	plan := f.config.Crash
+	var back []*worker
+	for _, w := range f.workers {
+		if w.gone {
+			continue
+		}
+		if w.down && now >= w.backAt {
+			w.down, w.gone = false, true
+			back = append(back, w)
+		}
+		if w.down || plan.Deadly == nil {
+			continue
+		}
+		for _, task := range w.inOrder() {
+			if begun := w.running[task].started; plan.Deadly(task) && now >= begun+plan.After {
+				f.crashes[task]++
+				f.crash(w, begun+plan.After)
+				break
+			}
+		}
+	}
+	for _, w := range back {
+		next := f.add(fmt.Sprintf("%s+%d", w.address, w.life+1), w.capacity)
+		next.address, next.life = w.address, w.life+1
+	}
+}
--- a/internal/process/sched/simulation_test.go
+++ b/internal/process/sched/simulation_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -28,6 +29,12 @@
 	lease = 6 * time.Second
 	// holdInterval is the interval between holds of one worker.
 	holdInterval = 50 * time.Millisecond
+	// gangTime is how long a member of a gang waits for the others.
+	gangTime = 3 * time.Second
+	// crashAfter is the time from the start of a deadly task to the crash of its
+	// worker, which is away for crashDowntime.
+	crashAfter    = 10 * time.Millisecond
+	crashDowntime = 3 * time.Second
 )
 
 // simulation drives a core against a fleet in virtual time.
@@ -56,6 +63,9 @@
 	stops    map[sched.EndCause]int
 	// unpolled workers get no holds.
 	unpolled map[string]bool
+	// deadly says whether a task crashes its workers; nil for none, and for workers
+	// that run the members of a gang apart from each other.
+	deadly func(task cairnbay.WorkflowTask) bool
 }
 
 type adviceCall struct {
@@ -79,6 +89,17 @@
 		Size: func(task cairnbay.WorkflowTask) cairnbay.Resources {
 			return sim.jobs[task.Job].Steps[task.Step].Size
 		},
+		Gang: func(task cairnbay.WorkflowTask) int {
+			if step := sim.jobs[task.Job].Steps[task.Step]; step.Gang && sim.deadly != nil {
+				return step.Tasks
+			}
+			return 0
+		},
+		GangTime: gangTime,
+		Crash: agent.CrashPlan{
+			Deadly: func(task cairnbay.WorkflowTask) bool { return sim.deadly != nil && sim.deadly(task) },
+			After:  crashAfter, Downtime: crashDowntime,
+		},
 	})
 	return sim
 }
@@ -114,6 +135,10 @@
 	state, err := sim.fleet.Hold(context.Background(), cairnbay.AgentTarget{Worker: id}, cairnbay.AgentHold{
 		Token: token, LeaseEnd: sim.now + lease, Acked: sim.acked[id],
 	})
+	if errors.Is(err, cairnbay.ErrReplaced) {
+		sim.core.HandleWorkerLoss(id)
+		sim.ids = slices.DeleteFunc(sim.ids, func(other string) bool { return other == id })
+	}
 	if err != nil {
 		sim.core.SetReachable(id, false)
 		return sched.HoldResult{}
@@ -187,7 +212,8 @@
 		sim.now += step
 		sim.answerCalls()
 		if sim.now%holdInterval == 0 {
-			for _, id := range sim.ids {
+			sim.followLives()
+			for _, id := range slices.Clone(sim.ids) {
 				if !sim.unpolled[id] {
 					sim.hold(id)
 				}
@@ -199,6 +225,18 @@
 	}
 }
 
+// followLives adds the workers that have come back under another ID.
+func (sim *simulation) followLives() {
+	for _, life := range sim.fleet.Lives() {
+		if !slices.Contains(sim.ids, life.ID) {
+			sim.ids = append(sim.ids, life.ID)
+			sim.core.SetWorker(cairnbay.WorkerEntry{
+				ID: life.ID, Address: life.Address, Rack: "r-" + life.Address, Capacity: life.Capacity,
+			})
+		}
+	}
+}
+
 func (sim *simulation) answerCalls() {
 	var unanswered []adviceCall
 	for _, call := range sim.adviceCalls {
