sched, drive: blame the crash of a worker on what it started last

A crash is now blamed on the attempts that the worker had not been known to run for 300 ms, on the worker's own clock. The last ones to start, and suspects of two crashes, start on trial only: on a worker that was emptied of short tasks and starts nothing else until the attempt has proven itself, while the crashes expected of all trials stay below a tenth of the workers (more while capacity is free). So the second crash has one suspect and harms few. A task that is blamed twice, once alone, fails its job; three times while workers crash without a suspect as well. One that crashes its workers late gets a worker of its own after three crashes. The tasks of a queue with suspects are placed apart from other jobs, and all start on trial while a tenth of the queue's starts crash their workers.

Departed workers do not count, silent ones once the platform no longer lists them or another one answers, and not if they answer again; neither does a start without an answer, unless on trial.

--- a/internal/fake/agent/crash.go
+++ b/internal/fake/agent/crash.go
@@ -14,7 +14,7 @@
 	// Deadly says whether a task crashes its workers; nil for none.
 	Deadly func(task cairnbay.WorkflowTask) bool
 	// After is the time from the start of such a task to the crash.
-	After time.Duration
+	After func() time.Duration
 	// Downtime is how long a crashed worker is away. Then another life answers at its
 	// address.
 	Downtime time.Duration
@@ -95,9 +95,9 @@
 			continue
 		}
 		for _, task := range w.inOrder() {
-			if begun := w.running[task].started; plan.Deadly(task) && now >= begun+plan.After {
+			if begun := w.running[task].started; plan.Deadly(task) && now >= begun+plan.After() {
 				f.crashes[task]++
-				f.crash(w, begun+plan.After)
+				f.crash(w, begun+plan.After())
 				break
 			}
 		}
--- a/internal/process/drive/drive.go
+++ b/internal/process/drive/drive.go
@@ -245,6 +245,10 @@
 			d.core.Replay(now, decodeRecord(sched.RecordDone, rec.GetDone()))
 		case rec.GetFailed() != nil:
 			d.core.Replay(now, decodeRecord(sched.RecordFailed, rec.GetFailed()))
+		case rec.GetCrashed() != nil:
+			d.core.Replay(now, decodeCrash(rec.GetCrashed()))
+		case rec.GetGivenUp() != nil:
+			d.core.Replay(now, decodeRecord(sched.RecordGivenUp, rec.GetGivenUp()))
 		case rec.GetWorker() != nil:
 			workers[rec.GetWorker().GetId()] = decodeWorker(rec.GetWorker())
 		case rec.GetReleased() != "":
@@ -334,8 +338,9 @@
 
 // handleWorkerLoss counts the attempts of a worker as lost, once they can
 // certainly no longer run; the caller holds the lock.
-func (d *Drive) handleWorkerLoss(id, reason string) {
-	lost := d.core.HandleWorkerLoss(id)
+func (d *Drive) handleWorkerLoss(id, reason string, cause sched.LossCause) {
+	loss := d.core.HandleWorkerLoss(d.now(), id, cause)
+	lost := loss.Lost
 	d.config.Log.WithFields(logrus.Fields{"worker": id, "reason": reason, "attempts": len(lost)}).Warn("worker lost")
 	for _, attempt := range lost {
 		d.config.Log.WithFields(logrus.Fields{
@@ -344,10 +349,40 @@
 		}).Info("attempt lost")
 	}
 	d.meters.workerLost(reason, len(lost))
+	d.logGivenUp()
+	if len(loss.Records) > 0 {
+		d.writer.Append(encodeRecords(loss.Records), func(err error) {
+			if err != nil {
+				return
+			}
+			d.mu.Lock()
+			defer d.mu.Unlock()
+			d.handleStored(loss.Records)
+		})
+	}
 	d.resolveInherited(id)
 	d.requestPlan()
 }
 
+// logGivenUp logs the jobs that were given up because of crashed workers; the caller
+// holds the lock.
+func (d *Drive) logGivenUp() {
+	for _, given := range d.core.TakeGivenUp() {
+		d.meters.jobGivenUp()
+		d.config.Log.WithFields(logrus.Fields{
+			"job": given.Task.Job, "task": taskIndexes(given.Task), "workers": given.Workers, "crashes": len(given.Workers),
+		}).Warn("job given up: a task crashes its workers")
+	}
+}
+
+// handleStored passes records that are in the store to the core and wakes the calls
+// that wait for them; the caller holds the lock.
+func (d *Drive) handleStored(records []sched.Record) {
+	d.core.RecordsStored(records)
+	close(d.recordsStored)
+	d.recordsStored = make(chan struct{})
+}
+
 // confirmedLinks counts the workers that accepted the token within
 // confirmWindow; the caller holds the lock.
 func (d *Drive) confirmedLinks(now time.Duration) int {
--- a/internal/process/drive/encode.go
+++ b/internal/process/drive/encode.go
@@ -102,6 +102,12 @@
 	}}
 }
 
+func decodeCrash(crashed *cairnbayv1.CrashedAttempt) sched.Record {
+	record := decodeRecord(sched.RecordCrashed, crashed.GetTask())
+	record.Worker, record.Suspect, record.Started = crashed.GetWorker(), crashed.GetSuspect(), crashed.GetStarted()
+	return record
+}
+
 func encodeRecords(records []sched.Record) []*cairnbayv1.WorkRecord {
 	encoded := make([]*cairnbayv1.WorkRecord, 0, len(records))
 	for _, record := range records {
@@ -110,6 +116,12 @@
 			encoded = append(encoded, &cairnbayv1.WorkRecord{Done: encodeTask(record.Task, record.Attempt)})
 		case sched.RecordFailed:
 			encoded = append(encoded, &cairnbayv1.WorkRecord{Failed: encodeTask(record.Task, record.Attempt)})
+		case sched.RecordCrashed:
+			encoded = append(encoded, &cairnbayv1.WorkRecord{Crashed: &cairnbayv1.CrashedAttempt{
+				Task: encodeTask(record.Task, record.Attempt), Worker: record.Worker, Suspect: record.Suspect, Started: record.Started,
+			}})
+		case sched.RecordGivenUp:
+			encoded = append(encoded, &cairnbayv1.WorkRecord{GivenUp: encodeTask(record.Task, record.Attempt)})
 		}
 	}
 	return encoded
--- a/internal/process/drive/inherited.go
+++ b/internal/process/drive/inherited.go
@@ -6,6 +6,7 @@
 	"github.com/sirupsen/logrus"
 
 	cairnbayv1 "cairnbay/gen/cairnbay/v1"
+	"cairnbay/internal/process/sched"
 )
 
 // resolveInherited removes a worker from the inherited ones after it answered or
@@ -52,7 +53,7 @@
 		if l := d.links[id]; l != nil {
 			d.journalRelease(l)
 		}
-		d.handleWorkerLoss(id, "inherited_lease_ended")
+		d.handleWorkerLoss(id, "inherited_lease_ended", sched.LossSilent)
 		if entry, ok := d.listed[id]; ok {
 			d.core.SetWorker(entry)
 		}
--- a/internal/process/drive/link.go
+++ b/internal/process/drive/link.go
@@ -216,7 +216,7 @@
 	_, listed := d.listed[l.entry.ID]
 	if l.leaseEnded(now) && !l.lapsed {
 		l.lapsed = true
-		d.handleWorkerLoss(l.entry.ID, "lease_ended")
+		d.handleWorkerLoss(l.entry.ID, "lease_ended", sched.LossSilent)
 		d.journalRelease(l)
 		if listed {
 			d.core.SetWorker(l.entry)
@@ -242,7 +242,11 @@
 func (d *Drive) drop(l *link, reason string) {
 	l.dropped = true
 	delete(d.links, l.entry.ID)
-	d.handleWorkerLoss(l.entry.ID, reason)
+	cause := sched.LossCrashed
+	if l.draining {
+		cause = sched.LossDeparted
+	}
+	d.handleWorkerLoss(l.entry.ID, reason, cause)
 	d.journalRelease(l)
 }
 
@@ -282,6 +286,7 @@
 		d.core.SetReachable(l.entry.ID, true)
 	}
 	result := d.core.HandleHold(now, l.entry.ID, sent, state)
+	d.logGivenUp()
 	d.resolveInherited(l.entry.ID)
 	d.mu.Unlock()
 	d.logEnds(l, result.Ends)
@@ -325,9 +330,7 @@
 		}
 		ends.stored = true
 		l.endsStored()
-		d.core.RecordsStored(result.Records)
-		close(d.recordsStored)
-		d.recordsStored = make(chan struct{})
+		d.handleStored(result.Records)
 		d.mu.Unlock()
 	})
 	select {
--- a/internal/process/drive/meters.go
+++ b/internal/process/drive/meters.go
@@ -48,6 +48,10 @@
 	}
 }
 
+func (m meters) jobGivenUp() {
+	m.counter("cairnbay_jobs_given_up_total", "").Inc()
+}
+
 func (m meters) gangIncomplete(cause sched.IncompleteCause) {
 	m.counter("cairnbay_gangs_incomplete_total", fmt.Sprintf(",cause=%q", cause)).Inc()
 }
--- a/internal/process/drive/orders.go
+++ b/internal/process/drive/orders.go
@@ -49,6 +49,7 @@
 	defer d.mu.Unlock()
 	if err == nil {
 		l.updateClock(clock, sent, d.config.BootTime())
+		d.core.HandleAnswer(l.entry.ID, clock)
 	}
 }
 
--- a/internal/process/sched/job.go
+++ b/internal/process/sched/job.go
@@ -28,6 +28,8 @@
 	endedAt   time.Duration
 	cancelled bool
 	failed    bool
+	// givenUp is the task for which the job was given up, nil for none.
+	givenUp *cairnbay.WorkflowTask
 	// unwritten counts records that are not in the store yet.
 	unwritten int
 	// attempts counts the job's attempts that hold capacity.
@@ -51,8 +53,12 @@
 	done    int
 	// longestRunTime is the longest measured run time of a done task.
 	longestRunTime time.Duration
-	// gangFailures are the failed attempts of a gang.
+	// gangFailures are the failed attempts of a gang, crashes the crashes of workers
+	// under any of its members.
 	gangFailures attemptNumbers
+	crashes      *crashHistory
+	// crashed is set once a worker has crashed under any task.
+	crashed bool
 	// liveAttempts counts the stage's attempts that hold capacity.
 	liveAttempts int
 	// gangAborting is set while the members of a failed gang attempt are being
@@ -71,8 +77,10 @@
 	done        bool
 	attempt     *attempt
 	lastAttempt int
-	// failures are the attempts that failed.
+	// failures are the attempts that failed, crashes the crashes of workers under a task
+	// of no gang.
 	failures attemptNumbers
+	crashes  *crashHistory
 	// failedOn is the worker of the last failure or stall. Other workers are
 	// preferred.
 	failedOn   string
--- a/internal/process/sched/place.go
+++ b/internal/process/sched/place.go
@@ -27,6 +27,12 @@
 		if task.done || task.attempt != nil || task.notBefore > now.BootTime {
 			continue
 		}
+		if c.needsTrial(stage, task) {
+			if target := c.chooseTrialWorker(now, stage, task, candidates); target != nil {
+				placed = append(placed, c.reserve(now, stage, task, target, max(task.lastAttempt, c.config.AttemptBase)+1))
+			}
+			continue
+		}
 		target := c.chooseWorker(stage, task, candidates)
 		if target == nil {
 			break
@@ -46,7 +52,7 @@
 		endsAt = now.BootTime + indefinite
 	}
 	for _, worker := range c.sortedWorkers {
-		if !worker.usable() || worker.backoffUntil > now.BootTime || !allowed(worker) || !worker.canRun(stage.spec) {
+		if !worker.usable() || worker.trials > 0 || worker.backoffUntil > now.BootTime || !allowed(worker) || !worker.canRun(stage.spec) {
 			continue
 		}
 		if reservations.blocks(stage, worker.entry.ID, endsAt) {
@@ -72,6 +78,9 @@
 			return nil
 		}
 	}
+	if c.needsTrial(stage, &stage.tasks[0]) {
+		candidates = c.trialGroup(stage, candidates)
+	}
 	groups := [][]*worker{candidates}
 	if stage.spec.SameRack {
 		groups = append(byRack(candidates), candidates)
@@ -124,6 +133,9 @@
 		target.reservedFor = nil
 	}
 	target.attach(reserved)
+	if c.needsTrial(stage, task) {
+		c.beginTrial(reserved)
+	}
 	c.updateReadyStages(stage.job)
 	return reserved
 }
@@ -140,6 +152,9 @@
 	// failureCost is added for each failure or stall on the worker since its
 	// last success.
 	failureCost = 1.0
+	// otherJobCost is added for each other job on the worker, for the tasks of a queue of
+	// which some may crash their workers. A job is late whether one task or all are lost.
+	otherJobCost = 1.0
 )
 
 // chooseWorker returns the worker with the lowest placement cost, nil if the
@@ -148,8 +163,9 @@
 	var best *worker
 	lowest := 0.0
 	size := demand(stage.spec)
+	_, risky := c.queueRisks[stage.job.workflow.Queue.Name]
 	for _, worker := range candidates {
-		if !size.Fits(worker.free()) {
+		if !size.Fits(worker.free()) || worker.trials > 0 && !stage.spec.Gang {
 			continue
 		}
 		if _, taken := worker.attempts[stage.ref(task.index)]; taken {
@@ -162,6 +178,9 @@
 			continue
 		}
 		cost := c.placementCost(stage.spec, task, worker, size)
+		if risky {
+			cost += otherJobCost * float64(worker.otherJobs(stage.job))
+		}
 		if best == nil || cost < lowest || cost == lowest && worker.entry.ID < best.entry.ID {
 			best, lowest = worker, cost
 		}
--- a/internal/process/sched/plan.go
+++ b/internal/process/sched/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -143,7 +144,9 @@
 	}
 	slices.SortFunc(ranked, comparePrecedence)
 	reservations := make(gangReservations)
+	maps.DeleteFunc(c.queueRisks, func(_ string, queue *queueRisk) bool { return queue.until <= now.BootTime })
 	c.startsHeld = false
+	c.updateMaxTrials()
 	for _, entry := range ranked {
 		if c.startLimit <= 0 {
 			c.startsHeld = true
@@ -265,6 +268,9 @@
 // planStage returns the starts of a stage's waiting tasks that can be placed
 // now, or a call for tickets. For other tasks it reserves or preempts capacity.
 func (c *Core) planStage(now Moment, stage *stage, reservations gangReservations) []Action {
+	if suspects, mayTry := c.waitingSuspects(stage); suspects == stage.waiting && !mayTry {
+		return nil
+	}
 	terms := stage.job.workflow.Queue.Advice
 	if terms == nil {
 		placed := c.place(now, stage, reservations, anyWorker)
--- a/internal/process/sched/preempt.go
+++ b/internal/process/sched/preempt.go
@@ -26,7 +26,8 @@
 	if stage.spec.Gang || c.urgency(now, stage) != urgencyInTime {
 		return
 	}
-	wanted := stage.waiting - c.pendingPreemptions(now, stage)
+	suspects, _ := c.waitingSuspects(stage)
+	wanted := stage.waiting - suspects - c.pendingPreemptions(now, stage)
 	if wanted <= 0 {
 		return
 	}
--- a/internal/process/sched/result.go
+++ b/internal/process/sched/result.go
@@ -92,6 +92,9 @@
 	a.phaseSince = now.BootTime
 	a.startedAt = now.BootTime
 	a.percentAt = now.BootTime
+	if !a.known {
+		a.known, a.knownAt = true, a.worker.clock
+	}
 }
 
 // undoStart detaches an attempt that certainly did not start.
@@ -160,6 +163,8 @@
 	if worker == nil {
 		return HoldResult{}
 	}
+	c.withdrawCrash(id)
+	worker.clock = max(worker.clock, state.Clock)
 	if !worker.claimed {
 		worker.claimed = true
 		c.changeCount++
@@ -178,7 +183,7 @@
 	listed := make(map[cairnbay.WorkflowTask]int, len(state.Running))
 	for _, running := range state.Running {
 		listed[running.Task] = running.Attempt
-		c.handleRunning(now, worker, running, state.Clock)
+		result.Records = append(result.Records, c.handleRunning(now, worker, running)...)
 	}
 	for ref, attempt := range worker.attempts {
 		if number, ok := listed[ref]; !ok || number != attempt.number {
@@ -188,23 +193,18 @@
 	return result
 }
 
-// handleRunning processes one running task of a worker's state. clock is the worker's
-// clock at that state.
-func (c *Core) handleRunning(now Moment, worker *worker, running cairnbay.AgentTask, clock time.Duration) {
+// handleRunning processes one running task of a worker's state.
+func (c *Core) handleRunning(now Moment, worker *worker, running cairnbay.AgentTask) []Record {
 	a := worker.attempts[running.Task]
 	if a == nil {
 		a = c.adopt(now, worker, running)
 	}
 	if a.number != running.Attempt {
-		return
+		return nil
 	}
 	if a.phase == phaseStarting || a.phase == phaseUncertain {
 		c.markRunning(now, a)
 	}
-	if !a.listed {
-		a.listed, a.listedAt = true, clock
-	}
-	a.ranAtLeast = max(a.ranAtLeast, clock-a.listedAt)
 	if running.Percent != a.percent {
 		a.percent, a.percentAt = running.Percent, now.BootTime
 	}
@@ -212,6 +212,7 @@
 	if a.task != nil {
 		a.stage.saveCheckpoint(a.task, running.Attempt, running.Checkpoint)
 	}
+	return c.proveAttempt(now, a)
 }
 
 // checkProgress stops an attempt whose progress has not changed for the stall
@@ -353,7 +354,7 @@
 		c.observeRunTime(stage.job.workflow.Queue.Name, stage.spec.RunTime, ran)
 		stage.longestRunTime = max(stage.longestRunTime, ran)
 	}
-	record := Record{RecordDone, stage.ref(task.index), number}
+	record := Record{Kind: RecordDone, Task: stage.ref(task.index), Attempt: number}
 	if stage.spec.Gang {
 		record.Task.Index = wholeGang
 		stage.finishAll()
@@ -366,7 +367,14 @@
 	c.updateDeadline(stage.job)
 	stage.job.unwritten++
 	stage.job.endIfComplete(now)
-	return []Record{record}
+	records := []Record{record}
+	if a != nil {
+		c.observeHarmlessStart(a)
+	}
+	if h := stage.history(task); h.suspected() {
+		records = append(records, c.acquit(now, h)...)
+	}
+	return records
 }
 
 // handleFailure processes an end that uses up an attempt.
@@ -389,7 +397,7 @@
 	if stage.job.ended && !alreadyEnded {
 		c.endJob(now, stage.job)
 	}
-	return []Record{{RecordFailed, stage.ref(task.index), number}}
+	return []Record{{Kind: RecordFailed, Task: stage.ref(task.index), Attempt: number}}
 }
 
 // saveCheckpoint stores an attempt's checkpoint for the next attempt, unless a later
--- a/internal/process/sched/sched.go
+++ b/internal/process/sched/sched.go
@@ -67,6 +67,18 @@
 	// plan left stages out because of it.
 	startLimit int
 	startsHeld bool
+	// silentCrashes are the crashes of workers that were silent, by worker ID: they may
+	// be cut off and answer again. replayedCrashes are those read from the store.
+	silentCrashes, replayedCrashes map[string]*crash
+	// queueRisks holds the queues of which some tasks crash their workers, by name.
+	queueRisks map[string]*queueRisk
+	// plainCrashAt is when a worker last crashed without a task to blame.
+	plainCrashAt time.Duration
+	// givenUp are the jobs given up since the last TakeGivenUp.
+	givenUp []GivenUp
+	// trials is the sum of the weights of the attempts on trial, and maxTrials its bound,
+	// in thousandths.
+	trials, maxTrials int
 }
 
 // defaultCallLimit bounds the calls of each kind to the policy service until
@@ -85,6 +97,8 @@
 		readyStages:   make(map[*stage]struct{}),
 		adviceCalls:   make(map[cairnbay.WorkflowTask]*stage),
 		runTimeRatios: make(map[string]*runTimeRatio),
+		queueRisks:    make(map[string]*queueRisk),
+		silentCrashes: make(map[string]*crash), replayedCrashes: make(map[string]*crash),
 	}
 }
 
@@ -132,6 +146,10 @@
 	RecordDone RecordKind = iota + 1
 	// RecordFailed is an attempt that failed.
 	RecordFailed
+	// RecordCrashed is an attempt whose worker crashed.
+	RecordCrashed
+	// RecordGivenUp is a task that was given up because its workers crashed.
+	RecordGivenUp
 )
 
 // wholeGang is the task index of a record about every task of a gang.
@@ -144,6 +162,10 @@
 	Task cairnbay.WorkflowTask
 	// Attempt is the number of the attempt that ended.
 	Attempt int
+	// Worker is the worker that crashed. Suspect is set if the attempt may have caused
+	// that, and Started if it has certainly run there. Only a RecordCrashed has them.
+	Worker           string
+	Suspect, Started bool
 }
 
 // Replay applies a record read from the store. The end time of the job is not
@@ -162,14 +184,23 @@
 	case RecordDone:
 		if record.Task.Index == wholeGang {
 			stage.finishAll()
+			stage.crashes.clear()
 		} else if task := stage.task(record.Task.Index); task != nil {
 			stage.finish(task)
+			task.crashes.clear()
 		}
 		job.endIfComplete(now)
 	case RecordFailed:
 		if task := stage.task(record.Task.Index); task != nil {
 			c.countFailure(now, stage, task, record.Attempt)
 		}
+	case RecordCrashed:
+		if task := stage.task(record.Task.Index); task != nil {
+			c.replayCrash(stage, task, record)
+		}
+	case RecordGivenUp:
+		job.failed, job.givenUp = true, &record.Task
+		job.markEnded(now)
 	}
 	c.updateReadyStages(job)
 }
@@ -245,6 +276,9 @@
 			continue
 		}
 		record := JobRecord{Workflow: job.workflow, Cancelled: job.cancelled}
+		if job.givenUp != nil {
+			record.Records = append(record.Records, Record{Kind: RecordGivenUp, Task: *job.givenUp})
+		}
 		for _, stage := range job.stages {
 			record.Records = append(record.Records, stage.snapshot()...)
 		}
@@ -267,18 +301,23 @@
 
 func (s *stage) snapshot() (records []Record) {
 	for _, number := range s.gangFailures {
-		records = append(records, Record{RecordFailed, s.ref(0), number})
+		records = append(records, Record{Kind: RecordFailed, Task: s.ref(0), Attempt: number})
 	}
 	if s.spec.Gang && s.done == len(s.tasks) {
-		return append(records, Record{RecordDone, s.ref(wholeGang), 0})
+		return append(records, Record{Kind: RecordDone, Task: s.ref(wholeGang)})
+	}
+	if s.crashes != nil {
+		records = append(records, s.crashes.records(nil)...)
 	}
 	for i := range s.tasks {
 		task := &s.tasks[i]
 		for _, number := range task.failures {
-			records = append(records, Record{RecordFailed, s.ref(i), number})
+			records = append(records, Record{Kind: RecordFailed, Task: s.ref(i), Attempt: number})
 		}
 		if task.done {
-			records = append(records, Record{RecordDone, s.ref(i), task.lastAttempt})
+			records = append(records, Record{Kind: RecordDone, Task: s.ref(i), Attempt: task.lastAttempt})
+		} else if task.crashes != nil {
+			records = append(records, task.crashes.records(nil)...)
 		}
 	}
 	return records
--- a/internal/process/sched/sched_test.go
+++ b/internal/process/sched/sched_test.go
@@ -136,7 +136,9 @@
 		sim.submit(gang("g", 2), false, 2*time.Second)
 		sim.advance(500 * time.Millisecond)
 		sim.fleet.Crash("b")
-		Expect(sim.core.HandleWorkerLoss("b")).To(HaveLen(1))
+		loss := sim.core.HandleWorkerLoss(sim.moment(), "b", sched.LossCrashed)
+		Expect(loss.Lost).To(HaveLen(1))
+		sim.core.RecordsStored(loss.Records)
 		sim.ids = []string{"a"}
 		sim.addWorker("c", cores(4, 4000))
 		sim.advance(5 * time.Second)
--- a/internal/process/sched/simulation_test.go
+++ b/internal/process/sched/simulation_test.go
@@ -31,9 +31,7 @@
 	holdInterval = 50 * time.Millisecond
 	// gangTime is how long a member of a gang waits for the others.
 	gangTime = 3 * time.Second
-	// crashAfter is the time from the start of a deadly task to the crash of its
-	// worker, which is away for crashDowntime.
-	crashAfter    = 10 * time.Millisecond
+	// crashDowntime is how long a crashed worker is away.
 	crashDowntime = 3 * time.Second
 )
 
@@ -66,6 +64,10 @@
 	// deadly says whether a task crashes its workers; nil for none, and for workers
 	// that run the members of a gang apart from each other.
 	deadly func(task cairnbay.WorkflowTask) bool
+	// crashAfter is the time from the start of a deadly task to the crash of its worker.
+	crashAfter time.Duration
+	// eachStep is called before each step of the simulation, if it is set.
+	eachStep func()
 }
 
 type adviceCall struct {
@@ -79,7 +81,7 @@
 		submitted: make(map[string]time.Duration), completed: make(map[string]time.Duration),
 		refused: make(map[string]bool), jobs: make(map[string]cairnbay.Workflow),
 		runTimes: make(map[string][]time.Duration), stops: make(map[sched.EndCause]int),
-		unpolled: make(map[string]bool),
+		unpolled: make(map[string]bool), crashAfter: 10 * time.Millisecond,
 	}
 	sim.fleet = agent.New(agent.Config{
 		Now: func() time.Duration { return sim.now },
@@ -98,7 +100,7 @@
 		GangTime: gangTime,
 		Crash: agent.CrashPlan{
 			Deadly: func(task cairnbay.WorkflowTask) bool { return sim.deadly != nil && sim.deadly(task) },
-			After:  crashAfter, Downtime: crashDowntime,
+			After:  func() time.Duration { return sim.crashAfter }, Downtime: crashDowntime,
 		},
 	})
 	return sim
@@ -136,7 +138,7 @@
 		Token: token, LeaseEnd: sim.now + lease, Acked: sim.acked[id],
 	})
 	if errors.Is(err, cairnbay.ErrReplaced) {
-		sim.core.HandleWorkerLoss(id)
+		sim.core.RecordsStored(sim.core.HandleWorkerLoss(sim.moment(), id, sched.LossCrashed).Records)
 		sim.ids = slices.DeleteFunc(sim.ids, func(other string) bool { return other == id })
 	}
 	if err != nil {
@@ -159,9 +161,10 @@
 	for _, action := range actions {
 		switch {
 		case action.Start != nil:
-			_, err := sim.fleet.Start(ctx, action.Start.Target, cairnbay.AgentStart{
+			clock, err := sim.fleet.Start(ctx, action.Start.Target, cairnbay.AgentStart{
 				Task: action.Start.Task, Attempt: action.Start.Attempt, LeaseEnd: sim.now + lease, Token: token,
 			})
+			sim.core.HandleAnswer(action.Start.Target.Worker, clock)
 			sim.core.HandleStart(sim.moment(), action.Start, err)
 		case action.Stop != nil:
 			sim.stops[action.Stop.Cause]++
@@ -210,6 +213,9 @@
 	const step = 10 * time.Millisecond
 	for end := sim.now + duration; sim.now < end; {
 		sim.now += step
+		if sim.eachStep != nil {
+			sim.eachStep()
+		}
 		sim.answerCalls()
 		if sim.now%holdInterval == 0 {
 			sim.followLives()
--- a/internal/process/sched/succession_test.go
+++ b/internal/process/sched/succession_test.go
@@ -113,7 +113,7 @@
 		s := newSuccession("a", "b")
 		s.answers("a", runs(member(0, formerAttempt, 0)))
 		Expect(s.plan().stops).To(BeEmpty())
-		s.core.HandleWorkerLoss("b")
+		s.core.HandleWorkerLoss(s.now, "b", sched.LossCrashed)
 		s.core.EndRecovery()
 		Expect(s.plan().stops).To(Equal(map[cairnbay.WorkflowTask]int{task("g", 0): formerAttempt}))
 	})
@@ -145,7 +145,7 @@
 	It("is stopped if a worker lists a member only after the recovery", func() {
 		s := newSuccession("a", "b")
 		s.answers("b", runs())
-		s.core.HandleWorkerLoss("a")
+		s.core.HandleWorkerLoss(s.now, "a", sched.LossCrashed)
 		s.core.EndRecovery()
 		s.core.SetWorker(cairnbay.WorkerEntry{ID: "a", Address: "a", Capacity: cores(4, 4000)})
 		Expect(s.plan().starts).To(BeEmpty())
--- /dev/null
+++ b/internal/process/sched/trial.go
@@ -0,0 +1,190 @@
+package sched
+
+import (
+	"slices"
+	"time"
+
+	"cairnbay"
+)
+
+const (
+	// trialShare bounds the crashes expected of the trials under way, and the workers
+	// away because of one: one worker in trialShare, and at least one.
+	trialShare = 10
+	// idleTrialShare is the same for the workers that the free capacity amounts to, if
+	// that allows more.
+	idleTrialShare = 3
+	// trialReservationTime is how long a worker is reserved for a trial.
+	trialReservationTime = 1500 * time.Millisecond
+	// trialReservationMargin before the end of the reservation the trial starts beside
+	// attempts that have not ended. It exceeds the interval of plans.
+	trialReservationMargin = 500 * time.Millisecond
+)
+
+// oneCrash is the weight of a trial that certainly crashes its worker.
+const oneCrash = 1000
+
+// share is the probability that the task has caused a crash, if each suspect may have.
+func (h *crashHistory) share() float64 {
+	share := 0.0
+	if h == nil {
+		return share
+	}
+	for _, mark := range h.marks {
+		if !h.blamed(mark) {
+			continue
+		}
+		suspects := len(mark.crash.suspects)
+		if mark.prime {
+			suspects = mark.crash.primes()
+		}
+		share = max(share, 1/float64(max(suspects, 1)))
+	}
+	if h.recurring() {
+		return 1
+	}
+	return share
+}
+
+// needsTrial reports whether a task may start on trial only, for its own history or
+// because so many tasks of its queue crash their workers.
+func (c *Core) needsTrial(stage *stage, task *task) bool {
+	queue := c.queueRisks[stage.job.workflow.Queue.Name]
+	return queue != nil && queue.share >= maxQueueRisk || stage.history(task).needsTrial()
+}
+
+// trialWeight is the number of crashes expected of a trial, in thousandths.
+func (c *Core) trialWeight(stage *stage, task *task) int {
+	share := stage.history(task).share()
+	if queue := c.queueRisks[stage.job.workflow.Queue.Name]; queue != nil {
+		share = max(share, queue.share)
+	}
+	return max(int(oneCrash*share), 1)
+}
+
+// updateMaxTrials bounds the trials of a plan.
+func (c *Core) updateMaxTrials() {
+	var used, capacity cairnbay.Resources
+	usable := 0.0
+	for _, worker := range c.sortedWorkers {
+		if worker.usable() {
+			usable++
+			used, capacity = used.Add(worker.used), capacity.Add(worker.entry.Capacity)
+		}
+	}
+	idle := (1 - used.DominantShare(capacity)) * usable
+	c.maxTrials = max(oneCrash*len(c.workers)/trialShare, int(oneCrash*idle)/idleTrialShare, oneCrash)
+}
+
+// mayTry reports whether another trial is within the bounds.
+func (c *Core) mayTry(weight int) bool {
+	return c.trials+weight <= c.maxTrials
+}
+
+// beginTrial marks an attempt of a task under which workers have crashed. Until it has
+// proven itself, its worker starts nothing else: a crash would leave no doubt about its
+// cause, and would harm few others.
+func (c *Core) beginTrial(a *attempt) {
+	a.trialWeight = c.trialWeight(a.stage, a.task)
+	a.worker.trials++
+	c.trials += a.trialWeight
+}
+
+// expectCrash counts the trials on a worker that has ceased to answer as its crash, so
+// that others wait until it is back.
+func (c *Core) expectCrash(w *worker) {
+	for _, attempt := range w.attempts {
+		if attempt.trialWeight > 0 {
+			c.trials += oneCrash - attempt.trialWeight
+			attempt.trialWeight = oneCrash
+			return
+		}
+	}
+}
+
+func (c *Core) endTrial(a *attempt) {
+	if a.trialWeight == 0 {
+		return
+	}
+	a.worker.trials--
+	c.trials -= a.trialWeight
+	a.trialWeight = 0
+	c.changeCount++
+}
+
+// waitingSuspects counts the waiting tasks of a stage that may start on trial only, and
+// reports whether any of them may now.
+func (c *Core) waitingSuspects(stage *stage) (count int, mayTry bool) {
+	if !stage.crashed && len(c.queueRisks) == 0 {
+		return 0, false
+	}
+	for i := range stage.tasks {
+		task := &stage.tasks[i]
+		if !task.done && task.attempt == nil && c.needsTrial(stage, task) {
+			count++
+			mayTry = mayTry || c.mayTry(c.trialWeight(stage, task))
+		}
+	}
+	return count, mayTry
+}
+
+// quiet reports whether every attempt on the worker has proven itself.
+func (w *worker) quiet() bool {
+	for _, attempt := range w.attempts {
+		if !attempt.proven() {
+			return false
+		}
+	}
+	return true
+}
+
+// chooseTrialWorker returns a worker for a trial, nil to wait for one. Unless a worker
+// has no other tasks, it reserves the one on which a crash harms the fewest, and waits
+// until the attempts that end soon are gone and all others have proven themselves.
+func (c *Core) chooseTrialWorker(now Moment, stage *stage, task *task, candidates []*worker) *worker {
+	if !c.mayTry(c.trialWeight(stage, task)) {
+		return nil
+	}
+	reserved := c.pendingPreemptions(now, stage) > 0
+	var best *worker
+	fewest := 0
+	for _, target := range candidates {
+		if target.trials > 0 || c.chooseWorker(stage, task, []*worker{target}) == nil {
+			continue
+		}
+		left := target.reservedUntil - now.BootTime
+		mine := target.reservedFor == stage && left > 0
+		lasting := c.lastingAttempts(now, target)
+		emptied := len(target.attempts) == lasting || left < trialReservationMargin
+		if len(target.attempts) == 0 || mine && emptied && target.quiet() {
+			return target
+		}
+		if best == nil || lasting < fewest {
+			best, fewest = target, lasting
+		}
+	}
+	if best != nil && !reserved {
+		best.reservedFor, best.reservedUntil = stage, now.BootTime+trialReservationTime
+	}
+	return nil
+}
+
+// lastingAttempts counts the attempts that will outlast the reservation for a trial.
+func (c *Core) lastingAttempts(now Moment, w *worker) int {
+	count := 0
+	for _, attempt := range w.attempts {
+		if c.remainingTime(now, attempt) > trialReservationTime {
+			count++
+		}
+	}
+	return count
+}
+
+// trialGroup leaves the quiet workers for a gang under which workers have crashed, none
+// while too many attempts are on trial.
+func (c *Core) trialGroup(stage *stage, candidates []*worker) []*worker {
+	if !c.mayTry(c.trialWeight(stage, &stage.tasks[0])) {
+		return nil
+	}
+	return slices.DeleteFunc(slices.Clone(candidates), func(w *worker) bool { return !w.quiet() })
+}
--- a/internal/process/sched/worker.go
+++ b/internal/process/sched/worker.go
@@ -38,6 +38,10 @@
 	serving, bestEffort int
 	// unreachable is set while calls to the worker fail.
 	unreachable bool
+	// trials counts the attempts on trial.
+	trials int
+	// clock is the worker's clock in its latest answer.
+	clock time.Duration
 }
 
 // phase is the state of an attempt.
@@ -69,11 +73,14 @@
 	phaseSince time.Duration
 	// startedAt is when the task was first known to run.
 	startedAt time.Duration
-	// listed is set once the worker has listed the attempt as running, listedAt is
-	// the worker's clock at that time and ranAtLeast how long the worker has listed
-	// it since.
-	listed               bool
-	listedAt, ranAtLeast time.Duration
+	// known is set once the worker has answered the start or listed the attempt, and
+	// knownAt is the worker's clock by then.
+	known   bool
+	knownAt time.Duration
+	// trialWeight is above 0 while the attempt is on trial, see beginTrial.
+	trialWeight int
+	// harmless is set once the attempt is known not to have crashed its worker.
+	harmless bool
 	// partial is set where the work began in an earlier attempt or under
 	// another owner. The run time of such an attempt is not used for estimates.
 	partial bool
@@ -106,6 +113,19 @@
 	CauseDone            EndCause = "already_done"
 )
 
+// ranAtLeast is how long the worker is known to have run the attempt, on its own clock,
+// whenever the owner has handled its answers.
+func (a *attempt) ranAtLeast() time.Duration {
+	if !a.known {
+		return 0
+	}
+	return a.worker.clock - a.knownAt
+}
+
+func (a *attempt) proven() bool {
+	return a.ranAtLeast() >= provingTime
+}
+
 func (w *worker) usable() bool {
 	return w.claimed && w.listed && !w.entry.Draining && w.unsizedAttempts == 0 && !w.unreachable
 }
@@ -146,6 +166,7 @@
 	}
 	delete(w.attempts, a.ref)
 	w.used = w.used.Sub(a.size)
+	c.endTrial(a)
 	if a.phase != phaseReserved {
 		c.changeCount++
 	}
@@ -212,6 +233,16 @@
 	}
 	worker.unreachable = !reachable
 	c.changeCount++
+	if !reachable {
+		c.expectCrash(worker)
+	}
+}
+
+// HandleAnswer records the clock in a worker's answer to an order.
+func (c *Core) HandleAnswer(id string, clock time.Duration) {
+	if worker := c.workers[id]; worker != nil {
+		worker.clock = max(worker.clock, clock)
+	}
 }
 
 // LostAttempt is an attempt that was lost with its worker.
@@ -223,20 +254,38 @@
 	RanAtLeast time.Duration
 }
 
-// HandleWorkerLoss removes a worker whose tasks have certainly ended and
-// returns the attempts that it had.
-func (c *Core) HandleWorkerLoss(id string) (lost []LostAttempt) {
+// WorkerLoss is the outcome of HandleWorkerLoss.
+type WorkerLoss struct {
+	Lost []LostAttempt
+	// Records must be stored, so that the next owner knows which tasks crash their
+	// workers.
+	Records []Record
+}
+
+// HandleWorkerLoss removes a worker whose tasks have certainly ended. It may be called
+// again for a silent worker, once more is known.
+func (c *Core) HandleWorkerLoss(now Moment, id string, cause LossCause) WorkerLoss {
+	var loss WorkerLoss
+	switch silent := c.silentCrashes[id]; {
+	case silent != nil && cause == LossCrashed && !silent.confirmed:
+		loss.Records = c.confirmCrash(now, silent)
+	case silent != nil && cause == LossDeparted:
+		c.withdrawCrash(id)
+	}
 	lostWorker := c.workers[id]
 	if lostWorker == nil {
-		return nil
+		return loss
+	}
+	if cause != LossDeparted && lostWorker.claimed {
+		loss.Records = append(loss.Records, c.noteCrash(now, lostWorker, cause)...)
 	}
 	for _, attempt := range lostWorker.attempts {
-		lost = append(lost, LostAttempt{attempt.ref, attempt.number, attempt.ranAtLeast})
+		loss.Lost = append(loss.Lost, LostAttempt{attempt.ref, attempt.number, attempt.ranAtLeast()})
 		c.detach(attempt)
 		c.abortGang(attempt)
 	}
 	delete(c.workers, id)
 	index, _ := c.position(id)
 	c.sortedWorkers = slices.Delete(c.sortedWorkers, index, index+1)
-	return lost
+	return loss
 }
