sched: check the room of a worker again when its ticket arrives

LIMIT: a worker whose capacity shrinks while the policy service is asked got the tasks for which room had been reserved there. The answer of the service is now checked against what the worker has by then.

--- a/internal/process/sched/advice.go
+++ b/internal/process/sched/advice.go
@@ -264,8 +264,8 @@
 }
 
 // startReserved starts the attempts that waited for tickets. It detaches those
-// without a valid ticket or a usable worker, and with them the rest of their
-// gang.
+// without a valid ticket or a usable worker, or whose worker has shrunk meanwhile,
+// and with them the rest of their gang.
 func (c *Core) startReserved(now Moment, stage *stage) []Action {
 	var ready, refused []*attempt
 	for i := range stage.tasks {
@@ -273,7 +273,7 @@
 		if attempt == nil || attempt.phase != phaseReserved {
 			continue
 		}
-		if stage.advice.valid(attempt.worker.entry.ID, now.BootTime) && attempt.worker.usable() {
+		if stage.advice.valid(attempt.worker.entry.ID, now.BootTime) && attempt.worker.usable() && !attempt.worker.overcommitted() {
 			ready = append(ready, attempt)
 		} else {
 			refused = append(refused, attempt)
--- a/internal/process/sched/worker.go
+++ b/internal/process/sched/worker.go
@@ -134,6 +134,11 @@
 	return w.entry.Capacity.Sub(w.used)
 }
 
+// overcommitted reports whether the worker has shrunk below what its attempts reserve.
+func (w *worker) overcommitted() bool {
+	return !w.used.Fits(w.entry.Capacity)
+}
+
 // canRun reports whether the empty worker could run a task of the step.
 func (w *worker) canRun(spec *cairnbay.WorkflowStep) bool {
 	return demand(spec).Fits(w.entry.Capacity) && (spec.Label == "" || slices.Contains(w.entry.Labels, spec.Label))
