drive: keep the latest capacity of a worker whose lease has ended

LIMIT: an owner that has lost a worker's lease added the worker again with the capacity that it had when it was first listed, and the list is only applied when it changes. The test gave three tasks to a worker that had room for one.

--- a/internal/process/drive/link.go
+++ b/internal/process/drive/link.go
@@ -213,13 +213,13 @@
 		d.config.Log.WithError(err).WithField("worker", l.entry.ID).Warn("worker not reached")
 	}
 	d.core.SetReachable(l.entry.ID, false)
-	_, listed := d.listed[l.entry.ID]
+	entry, listed := d.listed[l.entry.ID]
 	if l.leaseEnded(now) && !l.lapsed {
 		l.lapsed = true
 		d.handleWorkerLoss(l.entry.ID, "lease_ended", sched.LossSilent)
 		d.journalRelease(l)
 		if listed {
-			d.core.SetWorker(l.entry)
+			d.core.SetWorker(entry)
 			d.core.SetReachable(l.entry.ID, false)
 		}
 	}
