drive: do not call a replaced worker again while it stays on the list

The platform lists a worker for up to three beats after it has crashed. The owner now remembers such workers until the list has them no more.

--- a/internal/process/drive/crash_test.go
+++ b/internal/process/drive/crash_test.go
@@ -1,9 +1,12 @@
 package drive_test
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -116,3 +119,36 @@
 		}),
 	)
 })
+
+// countingAgent counts the renewals that are sent to replaced workers.
+type countingAgent struct {
+	*agent.Fleet
+	replaced atomic.Int64
+}
+
+func (a *countingAgent) Hold(ctx context.Context, target cairnbay.AgentTarget, order cairnbay.AgentHold) (cairnbay.AgentState, error) {
+	state, err := a.Fleet.Hold(ctx, target, order)
+	if errors.Is(err, cairnbay.ErrReplaced) {
+		a.replaced.Add(1)
+	}
+	return state, err
+}
+
+var _ = Describe("a replaced worker that stays on the list for a while", func() {
+	It("is not called again with each change of the list", func() {
+		c := newCluster(3)
+		counting := &countingAgent{Fleet: c.fleet}
+		c.agent = counting
+		owner := c.startOwner()
+		DeferCleanup(owner.Close)
+		c.accept(owner, "j")
+		c.fleet.Crash("w0")
+		Eventually(counting.replaced.Load, "5s").Should(BeNumerically(">", 0))
+		for range 20 {
+			owner.SetWorkers(c.entries())
+			time.Sleep(10 * time.Millisecond)
+		}
+		Expect(counting.replaced.Load()).To(BeNumerically("<=", 2))
+		Eventually(jobState(owner, "j"), "10s").Should(Equal(cairnbay.WorkflowCompleted))
+	})
+})
--- a/internal/process/drive/drive.go
+++ b/internal/process/drive/drive.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -79,6 +80,9 @@
 	listed map[string]cairnbay.WorkerEntry
 	// listRead says that the list has been read at least once.
 	listRead bool
+	// replaced holds the workers that the list still contains although another worker
+	// answers at their address.
+	replaced map[string]cairnbay.AgentTarget
 	// pending are the submissions being stored, by job ID.
 	pending map[string]*submission
 	// recordsStored is closed and replaced when records of attempt ends are stored.
@@ -149,7 +153,7 @@
 		config: config, ctx: ctx, cancel: cancel, planDue: make(chan struct{}, 1), compactDue: make(chan struct{}, 1),
 		core: sched.New(config.Sched), links: make(map[string]*link),
 		listed: make(map[string]cairnbay.WorkerEntry), pending: make(map[string]*submission), recordsStored: make(chan struct{}),
-		inherited: make(map[string]struct{}), pacer: newPacer(), meters: newMeters(config.Metrics, config.Claim.Shard),
+		inherited: make(map[string]struct{}), replaced: make(map[string]cairnbay.AgentTarget), pacer: newPacer(), meters: newMeters(config.Metrics, config.Claim.Shard),
 	}
 	d.writer = record.New(record.Config{
 		Store: config.Store, Commit: config.Store.Commit, Shard: config.Claim.Shard,
@@ -299,6 +303,10 @@
 	for _, entry := range entries {
 		listed[entry.ID] = entry
 	}
+	maps.DeleteFunc(d.replaced, func(id string, _ cairnbay.AgentTarget) bool {
+		_, ok := listed[id]
+		return !ok
+	})
 	if d.loaded {
 		for id, entry := range listed {
 			d.addWorker(entry)
@@ -332,6 +340,9 @@
 		}
 		return
 	}
+	if gone, ok := d.replaced[entry.ID]; ok && gone.Address == entry.Address {
+		return
+	}
 	d.core.SetWorker(entry)
 	d.openLink(entry, false)
 }
--- a/internal/process/drive/link.go
+++ b/internal/process/drive/link.go
@@ -205,7 +205,7 @@
 	defer d.mu.Unlock()
 	now := d.config.BootTime()
 	if errors.Is(err, cairnbay.ErrReplaced) {
-		d.drop(l, "replaced")
+		d.dropReplaced(l)
 		return 0, false
 	}
 	l.failures++
@@ -238,6 +238,13 @@
 	return renewRetryPause, true
 }
 
+// dropReplaced removes a worker at whose address another one answers; the caller holds
+// the lock.
+func (d *Drive) dropReplaced(l *link) {
+	d.replaced[l.entry.ID] = l.target()
+	d.drop(l, "replaced")
+}
+
 // drop removes a worker and its link; the caller holds the lock.
 func (d *Drive) drop(l *link, reason string) {
 	l.dropped = true
--- a/internal/process/drive/orders.go
+++ b/internal/process/drive/orders.go
@@ -176,7 +176,7 @@
 	d.mu.Lock()
 	if errors.Is(err, cairnbay.ErrReplaced) {
 		if l := d.links[action.Target.Worker]; l != nil {
-			d.drop(l, "replaced")
+			d.dropReplaced(l)
 		}
 	}
 	d.core.HandleStart(d.now(), action, err)
