sched: tell prompt crashes apart, and heed the risk of a queue from the first sign

- The tasks of a queue were placed apart from other jobs only once a crash was certain, 3.5 s after it.

--- a/internal/process/drive/encode.go
+++ b/internal/process/drive/encode.go
@@ -104,7 +104,8 @@
 
 func decodeCrash(crashed *cairnbayv1.CrashedAttempt) sched.Record {
 	record := decodeRecord(sched.RecordCrashed, crashed.GetTask())
-	record.Worker, record.Suspect, record.Started = crashed.GetWorker(), crashed.GetSuspect(), crashed.GetStarted()
+	record.Worker, record.Suspect = crashed.GetWorker(), crashed.GetSuspect()
+	record.Started, record.Prompt = crashed.GetStarted(), crashed.GetPrompt()
 	return record
 }
 
@@ -118,7 +119,7 @@
 			encoded = append(encoded, &cairnbayv1.WorkRecord{Failed: encodeTask(record.Task, record.Attempt)})
 		case sched.RecordCrashed:
 			encoded = append(encoded, &cairnbayv1.WorkRecord{Crashed: &cairnbayv1.CrashedAttempt{
-				Task: encodeTask(record.Task, record.Attempt), Worker: record.Worker, Suspect: record.Suspect, Started: record.Started,
+				Task: encodeTask(record.Task, record.Attempt), Worker: record.Worker, Suspect: record.Suspect, Started: record.Started, Prompt: record.Prompt,
 			}})
 		case sched.RecordGivenUp:
 			encoded = append(encoded, &cairnbayv1.WorkRecord{GivenUp: encodeTask(record.Task, record.Attempt)})
--- a/internal/process/drive/link.go
+++ b/internal/process/drive/link.go
@@ -91,7 +91,7 @@
 	added := &link{entry: entry, journaled: journaled, draining: entry.Draining}
 	d.links[entry.ID] = added
 	if !journaled {
-		d.core.SetReachable(entry.ID, false)
+		d.core.SetReachable(d.now(), entry.ID, false)
 	}
 	d.done.Go(func() { d.renewLoop(added) })
 }
@@ -212,7 +212,7 @@
 	if l.failures == 1 {
 		d.config.Log.WithError(err).WithField("worker", l.entry.ID).Warn("worker not reached")
 	}
-	d.core.SetReachable(l.entry.ID, false)
+	d.core.SetReachable(d.now(), l.entry.ID, false)
 	entry, listed := d.listed[l.entry.ID]
 	if l.leaseEnded(now) && !l.lapsed {
 		l.lapsed = true
@@ -220,7 +220,7 @@
 		d.journalRelease(l)
 		if listed {
 			d.core.SetWorker(entry)
-			d.core.SetReachable(l.entry.ID, false)
+			d.core.SetReachable(d.now(), l.entry.ID, false)
 		}
 	}
 	if !listed && l.draining && l.answeredAt > 0 && now-l.answeredAt > departedTimeout {
@@ -290,7 +290,7 @@
 	}
 	unjournaled := !l.journaled
 	if !unjournaled {
-		d.core.SetReachable(l.entry.ID, true)
+		d.core.SetReachable(d.now(), l.entry.ID, true)
 	}
 	result := d.core.HandleHold(now, l.entry.ID, sent, state)
 	d.logGivenUp()
@@ -332,7 +332,7 @@
 		d.mu.Lock()
 		if !l.journaled {
 			l.journaled = true
-			d.core.SetReachable(l.entry.ID, true)
+			d.core.SetReachable(d.now(), l.entry.ID, true)
 			d.requestPlan()
 		}
 		ends.stored = true
--- a/internal/process/drive/orders.go
+++ b/internal/process/drive/orders.go
@@ -181,7 +181,7 @@
 	}
 	d.core.HandleStart(d.now(), action, err)
 	if errors.Is(err, cairnbay.ErrUnknown) {
-		d.core.SetReachable(action.Target.Worker, false)
+		d.core.SetReachable(d.now(), action.Target.Worker, false)
 	}
 	d.mu.Unlock()
 	if err != nil {
--- a/internal/process/sched/crash.go
+++ b/internal/process/sched/crash.go
@@ -27,15 +27,16 @@
 	// nothing to do with its crash. A task that crashes its worker does so as it
 	// starts; one that does so later is found by recurringCrashes.
 	provingTime = 300 * time.Millisecond
-	// maxBlamedCrashes is the number of attempts blamed for a crash, one of them alone,
-	// after which a task is given up. While workers also crash without a task to blame,
-	// a coincidence is likelier, and it takes one more.
-	maxBlamedCrashes = 2
+	// promptTime is the time from a start to a crash within which a coincidence is
+	// unlikely.
+	promptTime = 50 * time.Millisecond
+	// A task is given up after maxPromptCrashes attempts that are blamed for a prompt
+	// crash, or maxBlamedCrashes that are blamed for any, one of them alone.
+	maxPromptCrashes = 2
+	maxBlamedCrashes = 3
 	// maxCrashes is the same for attempts under which workers have crashed unexplained,
 	// whether they are blamed or not.
 	maxCrashes = 5
-	// plainCrashTime is how long after such a crash that applies.
-	plainCrashTime = 30 * time.Second
 	// primeWindow is the time before the last start on a crashed worker within which
 	// the prime suspects started.
 	primeWindow = 50 * time.Millisecond
@@ -79,9 +80,10 @@
 type crashMark struct {
 	crash   *crash
 	attempt int
-	// started is set if the attempt has certainly run on the worker, and prime if it was
-	// among the last that the worker had started.
-	started, prime bool
+	// started is set if the attempt has certainly run on the worker, prime if it was
+	// among the last that the worker had started, and prompt if the worker ceased to
+	// answer within promptTime.
+	started, prime, prompt bool
 }
 
 // GivenUp is a job that has failed because one of its tasks, or gangs, crashes the
@@ -145,13 +147,14 @@
 
 // guilty reports whether the crashes suffice to give the task up: so many attempts are
 // blamed, one of them alone. The other suspects of a shared crash may have caused it.
-func (h *crashHistory) guilty(limit int) bool {
+func (h *crashHistory) guilty() bool {
 	blamed := func(mark crashMark) bool { return mark.started && mark.crash.confirmed && h.blamed(mark) }
 	alone := func(mark crashMark) bool {
 		return blamed(mark) && len(mark.crash.suspects) == 1 && mark.crash.unknownSuspects == 0
 	}
-	return slices.ContainsFunc(h.marks, alone) &&
-		(h.countAttempts(blamed) >= limit || h.countAttempts(unexplained) >= maxCrashes)
+	prompt := func(mark crashMark) bool { return mark.prompt && blamed(mark) }
+	return slices.ContainsFunc(h.marks, alone) && (h.countAttempts(prompt) >= maxPromptCrashes ||
+		h.countAttempts(blamed) >= maxBlamedCrashes || h.countAttempts(unexplained) >= maxCrashes)
 }
 
 // countAttempts counts the attempts with a mark that counts. Several workers may crash
@@ -213,6 +216,7 @@
 				// nothing else crashes a worker just as a trial begins.
 				started: attempt.known || attempt.trialWeight > 0,
 				prime:   !attempt.known || attempt.knownAt >= lastStart-primeWindow,
+				prompt:  attempt.known && lost.unreachable && lost.unreachableSince-attempt.startedAt <= promptTime,
 			}, suspect)
 		}
 	}
@@ -305,7 +309,7 @@
 		if mark.crash.confirmed && (of == nil || mark.crash == of) {
 			records = append(records, Record{
 				Kind: RecordCrashed, Task: h.stage.ref(h.task.index), Attempt: mark.attempt,
-				Worker: mark.crash.worker, Suspect: h.blamed(mark), Started: mark.started,
+				Worker: mark.crash.worker, Suspect: h.blamed(mark), Started: mark.started, Prompt: mark.prompt,
 			})
 		}
 	}
@@ -320,21 +324,14 @@
 		c.replayedCrashes[record.Worker] = replayed
 	}
 	replayed.mark(stage.historyOrNew(task), crashMark{
-		attempt: record.Attempt, started: record.Started, prime: record.Suspect,
+		attempt: record.Attempt, started: record.Started, prime: record.Suspect, prompt: record.Prompt,
 	}, record.Suspect)
 }
 
 // judge gives up the guilty suspects of a crash.
 func (c *Core) judge(now Moment, judged *crash) (records []Record) {
-	if judged.confirmed && len(judged.suspects) == 0 && judged.unknownSuspects == 0 {
-		c.plainCrashAt = now.BootTime
-	}
-	limit := maxBlamedCrashes
-	if c.plainCrashAt > 0 && now.BootTime-c.plainCrashAt < plainCrashTime {
-		limit++
-	}
 	for _, h := range slices.Clone(judged.suspects) {
-		if h.stage.job.ended || !h.guilty(limit) {
+		if h.stage.job.ended || !h.guilty() {
 			continue
 		}
 		records = append(records, c.giveUp(now, h))
--- a/internal/process/sched/crash_test.go
+++ b/internal/process/sched/crash_test.go
@@ -16,7 +16,7 @@
 	// maxCrashes is how often a task may start though it crashes its workers: a third
 	// start after three crashes breaks a rule.
 	maxCrashes = 5
-	// plainCrashes is the interval of crashes that no task causes.
+	// plainCrashes is the mean interval of crashes that no task causes.
 	plainCrashes = 2 * time.Second
 	// crashWorkers is the number of workers, of 16 cores each.
 	crashWorkers = 8
@@ -135,7 +135,7 @@
 	next := sim.now
 	sim.eachStep = func() {
 		if lives := sim.fleet.Lives(); sim.now >= next && sim.now < 20*time.Second && len(lives) > 2 {
-			next = sim.now + plainCrashes
+			next = sim.now + time.Duration(2*random.Float64()*float64(plainCrashes))
 			sim.fleet.CrashFor(lives[random.IntN(len(lives))].ID)
 		}
 	}
@@ -148,7 +148,8 @@
 		sim.crashAtRandom(seed)
 		sim.replay(batch(60, time.Second), false, time.Minute)
 		sim.expectGivenUp()
-	}, Entry("seed 1", uint64(1)), Entry("seed 2", uint64(2)), Entry("seed 3", uint64(3)), Entry("seed 4", uint64(4)))
+	}, Entry("seed 1", uint64(1)), Entry("seed 2", uint64(2)), Entry("seed 3", uint64(3)), Entry("seed 4", uint64(4)),
+		Entry("seed 5", uint64(5)), Entry("seed 6", uint64(6)), Entry("seed 7", uint64(7)), Entry("seed 8", uint64(8)))
 })
 
 // crashOwner is an owner of a job with one task on workers that are lost.
@@ -205,7 +206,9 @@
 	o.core.Tick()
 }
 
+// lose loses a worker that ceased to answer just after its last start.
 func (o *crashOwner) lose(worker string, cause sched.LossCause) []sched.Record {
+	o.core.SetReachable(o.now, worker, false)
 	records := o.core.HandleWorkerLoss(o.now, worker, cause).Records
 	o.core.RecordsStored(records)
 	return records
@@ -241,6 +244,9 @@
 		Expect(o.startsOn("b")).To(BeTrue())
 		o.lose("b", sched.LossCrashed)
 		Expect(o.state()).To(Equal(expected))
+		if expected == cairnbay.WorkflowFailed {
+			Expect(o.startsOn("c")).To(BeFalse())
+		}
 	},
 		Entry("if it has crashed", crashed, cairnbay.WorkflowFailed),
 		Entry("if it was silent and is known to have crashed later", func(o *crashOwner) {
@@ -286,6 +292,7 @@
 		o.lose("a", sched.LossCrashed)
 		next := newCrashOwner(o.core)
 		Expect(next.startsOn("b")).To(BeTrue())
+		next.core.SetReachable(next.now, "b", false)
 		Expect(next.core.HandleWorkerLoss(next.now, "b", sched.LossCrashed).Records).NotTo(BeEmpty())
 		Expect(next.state()).To(Equal(cairnbay.WorkflowRunning), "shown as failed before that is stored")
 		Expect(next.core.TakeGivenUp()).To(Equal([]sched.GivenUp{{Task: task("j", 0), Workers: []string{"a", "b"}}}))
--- a/internal/process/sched/late_gang_test.go
+++ b/internal/process/sched/late_gang_test.go
@@ -99,7 +99,7 @@
 		Expect(starts).To(HaveLen(2))
 		silent := starts[0].Start.Target.Worker
 		core.HandleStart(now, starts[0].Start, nil)
-		core.SetReachable(silent, false)
+		core.SetReachable(now, silent, false)
 		core.HandleStart(now, starts[1].Start, cairnbay.ErrNoRoom)
 
 		stops := core.Plan(now)
@@ -108,7 +108,7 @@
 		core.HandleStop(now, stops[0].Stop, cairnbay.ErrUnknown)
 		now.BootTime += 2 * time.Second
 		Expect(core.Plan(now)).To(BeEmpty())
-		core.SetReachable(silent, true)
+		core.SetReachable(now, silent, true)
 		Expect(core.Plan(now)).To(HaveLen(1))
 	})
 })
--- a/internal/process/sched/sched.go
+++ b/internal/process/sched/sched.go
@@ -72,8 +72,6 @@
 	silentCrashes, replayedCrashes map[string]*crash
 	// queueRisks holds the queues of which some tasks crash their workers, by name.
 	queueRisks map[string]*queueRisk
-	// plainCrashAt is when a worker last crashed without a task to blame.
-	plainCrashAt time.Duration
 	// givenUp are the jobs given up since the last TakeGivenUp.
 	givenUp []GivenUp
 	// trials is the sum of the weights of the attempts on trial, and maxTrials its bound,
@@ -163,9 +161,10 @@
 	// Attempt is the number of the attempt that ended.
 	Attempt int
 	// Worker is the worker that crashed. Suspect is set if the attempt may have caused
-	// that, and Started if it has certainly run there. Only a RecordCrashed has them.
-	Worker           string
-	Suspect, Started bool
+	// that, Started if it has certainly run there, and Prompt if the worker ceased to
+	// answer just after the start. Only a RecordCrashed has them.
+	Worker                   string
+	Suspect, Started, Prompt bool
 }
 
 // Replay applies a record read from the store. The end time of the job is not
--- a/internal/process/sched/simulation_test.go
+++ b/internal/process/sched/simulation_test.go
@@ -142,10 +142,10 @@
 		sim.ids = slices.DeleteFunc(sim.ids, func(other string) bool { return other == id })
 	}
 	if err != nil {
-		sim.core.SetReachable(id, false)
+		sim.core.SetReachable(sim.moment(), id, false)
 		return sched.HoldResult{}
 	}
-	sim.core.SetReachable(id, true)
+	sim.core.SetReachable(sim.moment(), id, true)
 	result := sim.core.HandleHold(sim.moment(), id, sent, state)
 	sim.core.RecordsStored(result.Records)
 	sim.acked[id] = result.LastSequence
--- a/internal/process/sched/trial.go
+++ b/internal/process/sched/trial.go
@@ -90,14 +90,19 @@
 	c.trials += a.trialWeight
 }
 
-// expectCrash counts the trials on a worker that has ceased to answer as its crash, so
-// that others wait until it is back.
-func (c *Core) expectCrash(w *worker) {
+// expectCrash prepares for the crash of a worker that has ceased to answer, seconds
+// before it is certain: a trial there counts as one, so that others wait until the
+// worker is back, and the queues of what it started last count as risky.
+func (c *Core) expectCrash(now Moment, w *worker) {
+	counted := false
 	for _, attempt := range w.attempts {
-		if attempt.trialWeight > 0 {
+		if attempt.stage != nil && attempt.known && !attempt.proven() {
+			c.queueRisk(attempt.stage).until = now.BootTime + riskTime
+		}
+		if attempt.trialWeight > 0 && !counted {
+			counted = true
 			c.trials += oneCrash - attempt.trialWeight
 			attempt.trialWeight = oneCrash
-			return
 		}
 	}
 }
--- a/internal/process/sched/worker.go
+++ b/internal/process/sched/worker.go
@@ -36,8 +36,9 @@
 	// serving and bestEffort count the attempts of steps with a tail target and
 	// of best-effort steps.
 	serving, bestEffort int
-	// unreachable is set while calls to the worker fail.
-	unreachable bool
+	// unreachable is set while calls to the worker fail, since unreachableSince.
+	unreachable      bool
+	unreachableSince time.Duration
 	// trials counts the attempts on trial.
 	trials int
 	// clock is the worker's clock in its latest answer.
@@ -231,7 +232,7 @@
 }
 
 // SetReachable records whether calls to a worker succeed.
-func (c *Core) SetReachable(id string, reachable bool) {
+func (c *Core) SetReachable(now Moment, id string, reachable bool) {
 	worker := c.workers[id]
 	if worker == nil || worker.unreachable == !reachable {
 		return
@@ -239,7 +240,8 @@
 	worker.unreachable = !reachable
 	c.changeCount++
 	if !reachable {
-		c.expectCrash(worker)
+		worker.unreachableSince = now.BootTime
+		c.expectCrash(now, worker)
 	}
 }
 
