soak: jobs whose task crashes its workers, and workers that shrink

One job in forty of a caller has a task that crashes the workers that start it; the fleet brings the worker back a second later under another ID. Such a job must end failed, after five crashes and one more for each fault that may replace an owner at the most, and all others complete as before. Another fault leaves a worker room for at most three tasks.

--- a/internal/fake/agent/crash.go
+++ b/internal/fake/agent/crash.go
@@ -48,7 +48,9 @@
 
 // Resize changes the capacity of a worker. What runs there goes on.
 func (f *Fleet) Resize(id string, capacity cairnbay.Resources) {
-	f.set(id, func(w *worker) { w.capacity = capacity })
+	f.set(id, func(w *worker) {
+		w.formerCapacity, w.capacity, w.resizedAt = w.capacity, capacity, f.config.Now()
+	})
 }
 
 // CrashCount is the number of workers that crashed under a deadly task.
--- a/internal/tool/soak/callers.go
+++ b/internal/tool/soak/callers.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"cairnbay"
 	"cairnbay/platform/stand"
 )
 
@@ -37,6 +38,11 @@
 	settleWait = 45 * time.Second
 	// cancelShare is one in so many accepted jobs that is cancelled.
 	cancelShare = 12
+	// deadlyShare is one in so many jobs of a caller of which a task crashes the workers
+	// that start it. Such a task may crash maxCrashes, and one more with each owner that
+	// goes without having stored what it saw.
+	deadlyShare = 40
+	maxCrashes  = 5
 	// gangShare is one in so many jobs of a caller whose steps are gangs, of one
 	// member more than another job has tasks: a gang of one never waits.
 	gangShare = 4
@@ -46,7 +52,7 @@
 type job struct {
 	id           string
 	steps, tasks int
-	gang         bool
+	gang, deadly bool
 	outcome      outcome
 }
 
@@ -86,6 +92,10 @@
 					one.tasks++
 					c.world.gangs.Store(one.id, one.tasks)
 				}
+				if number%deadlyShare == deadlyShare-1 {
+					one.deadly = true
+					c.world.deadly.Store(one.id, true)
+				}
 				c.submit(ctx, random, one)
 			}
 		})
@@ -189,6 +199,10 @@
 	for _, one := range c.jobs {
 		switch one.outcome {
 		case accepted:
+			if one.deadly {
+				c.awaitGivenUp(ctx, random, one, deadline)
+				continue
+			}
 			c.awaitCompleted(ctx, random, one, deadline)
 		case refused:
 			if c.world.fleet.Started(one.id) {
@@ -199,6 +213,20 @@
 	return c.broken
 }
 
+// awaitGivenUp waits until a job with a task that crashes its workers is shown as failed.
+func (c *callers) awaitGivenUp(ctx context.Context, random *rand.Rand, one *job, deadline time.Time) {
+	status, state := 0, ""
+	for time.Now().Before(deadline) && state != "failed" {
+		status, state = c.call(ctx, random, http.MethodGet, one.id, nil)
+		time.Sleep(50 * time.Millisecond)
+	}
+	crashes := c.world.fleet.CrashCount(cairnbay.WorkflowTask{Job: one.id})
+	fmt.Fprintf(c.world.config.Out, "job %s crashed %d workers\n", one.id, crashes)
+	if state != "failed" || crashes < 2 || crashes > maxCrashes+c.world.ownerEnds {
+		c.broken = append(c.broken, fmt.Sprintf("job %s crashed %d workers: status %d, state %q", one.id, crashes, status, state))
+	}
+}
+
 func (c *callers) awaitCompleted(ctx context.Context, random *rand.Rand, one *job, deadline time.Time) {
 	status, state := 0, ""
 	for time.Now().Before(deadline) {
--- a/internal/tool/soak/faults.go
+++ b/internal/tool/soak/faults.go
@@ -19,7 +19,7 @@
 var faults = []fault{
 	killInstance, stopInstance, pauseInstance, hangUp,
 	storeDown, storeSlow, storeLoses, storeForgets, storeRevokes, storeLink,
-	workerLink, workerCrash, workerCut, workerMute, configure,
+	workerLink, workerCrash, workerCut, workerMute, workerShrink, configure,
 }
 
 const (
@@ -43,18 +43,21 @@
 }
 
 func killInstance(_ context.Context, w *world, random *rand.Rand, length time.Duration) string {
+	w.ownerEnds++
 	i := random.IntN(len(w.processes))
 	w.signal(i, syscall.SIGKILL, length/2)
 	return fmt.Sprintf("kill %s, back after %v", w.name(i), length/2)
 }
 
 func stopInstance(_ context.Context, w *world, random *rand.Rand, length time.Duration) string {
+	w.ownerEnds++
 	i := random.IntN(len(w.processes))
 	w.signal(i, syscall.SIGTERM, length/4)
 	return fmt.Sprintf("stop %s, back after %v", w.name(i), length/4)
 }
 
 func pauseInstance(ctx context.Context, w *world, random *rand.Rand, length time.Duration) string {
+	w.ownerEnds++
 	i := random.IntN(len(w.processes))
 	w.signal(i, syscall.SIGSTOP, 0)
 	w.after(ctx, length, func() { w.signal(i, syscall.SIGCONT, 0) })
@@ -68,12 +71,14 @@
 }
 
 func storeDown(ctx context.Context, w *world, _ *rand.Rand, length time.Duration) string {
+	w.ownerEnds++
 	w.store.SetDown(true)
 	w.after(ctx, length, func() { w.store.SetDown(false) })
 	return fmt.Sprintf("store down for %v", length)
 }
 
 func storeSlow(ctx context.Context, w *world, random *rand.Rand, length time.Duration) string {
+	w.ownerEnds++
 	slow := time.Duration(random.IntN(500)) * time.Millisecond
 	w.store.SetSlow(slow)
 	w.after(ctx, length, func() { w.store.SetSlow(0) })
@@ -93,6 +98,7 @@
 }
 
 func storeRevokes(_ context.Context, w *world, random *rand.Rand, _ time.Duration) string {
+	w.ownerEnds++
 	i := random.IntN(len(w.processes))
 	shard := w.shards[random.IntN(len(w.shards))]
 	w.store.Drop("cairnbay/live/owner/"+shard, "cairnbay/live/node/"+w.name(i))
@@ -100,6 +106,7 @@
 }
 
 func storeLink(ctx context.Context, w *world, random *rand.Rand, length time.Duration) string {
+	w.ownerEnds++
 	i := random.IntN(len(w.toStore))
 	mode := proxy.Mode(1 + random.IntN(int(proxy.Modes)-1))
 	w.toStore[i].Set(mode)
@@ -112,12 +119,12 @@
 	mode := proxy.Mode(1 + random.IntN(int(proxy.Modes)-1))
 	w.toWorker[i].Set(mode)
 	w.after(ctx, length, func() { w.toWorker[i].Set(proxy.Pass) })
-	return fmt.Sprintf("link to %s: %v for %v", w.workers[i], mode, length)
+	return fmt.Sprintf("link to %s: %v for %v", w.worker(i), mode, length)
 }
 
 func workerCrash(_ context.Context, w *world, random *rand.Rand, _ time.Duration) string {
-	i := random.IntN(len(w.workers))
-	gone := w.workers[i]
+	i := random.IntN(len(w.toWorker))
+	gone := w.worker(i)
 	w.fleet.Crash(gone)
 	w.store.Drop(platform.WorkerPrefix + gone)
 	w.addLife(i)
@@ -125,14 +132,22 @@
 }
 
 func workerCut(ctx context.Context, w *world, random *rand.Rand, length time.Duration) string {
-	id := w.workers[random.IntN(len(w.workers))]
+	id := w.worker(random.IntN(len(w.toWorker)))
 	w.fleet.Cut(id, true)
 	w.after(ctx, 2*length, func() { w.fleet.Cut(id, false) })
 	return fmt.Sprintf("cut %s off for %v", id, 2*length)
 }
 
+// workerShrink leaves a worker room for at most three tasks until the faults end.
+func workerShrink(_ context.Context, w *world, random *rand.Rand, _ time.Duration) string {
+	i := random.IntN(len(w.toWorker))
+	tasks := random.IntN(4)
+	w.resize(i, taskSize.Times(tasks))
+	return fmt.Sprintf("%s has room for %d tasks", w.worker(i), tasks)
+}
+
 func workerMute(ctx context.Context, w *world, random *rand.Rand, length time.Duration) string {
-	id := w.workers[random.IntN(len(w.workers))]
+	id := w.worker(random.IntN(len(w.toWorker)))
 	w.fleet.Mute(id, true)
 	w.after(ctx, length/2, func() { w.fleet.Mute(id, false) })
 	return fmt.Sprintf("%s does not answer for %v", id, length/2)
