--- a/internal/process/sched/sched.go
+++ b/internal/process/sched/sched.go
@@ -74,8 +74,8 @@
 	queueRisks map[string]*queueRisk
 	// givenUp are the jobs given up since the last TakeGivenUp.
 	givenUp []GivenUp
-	// trials is the sum of the weights of the attempts on trial, and maxTrials its bound,
-	// in thousandths.
+	// trials is the sum of the weights of the attempts on trial, and maxTrials its bound
+	// in this plan, in thousandths; 0 until a suspect waits.
 	trials, maxTrials int
 }
 
--- a/internal/process/sched/trial.go
+++ b/internal/process/sched/trial.go
@@ -62,8 +62,8 @@
 	return max(int(oneCrash*share), 1)
 }
 
-// updateMaxTrials bounds the trials of a plan.
-func (c *Core) updateMaxTrials() {
+// countMaxTrials returns the bound of the trials for a plan.
+func (c *Core) countMaxTrials() int {
 	var used, capacity cairnbay.Resources
 	usable := 0.0
 	for _, worker := range c.sortedWorkers {
@@ -73,11 +73,14 @@
 		}
 	}
 	idle := (1 - used.DominantShare(capacity)) * usable
-	c.maxTrials = max(oneCrash*len(c.workers)/trialShare, int(oneCrash*idle)/idleTrialShare, oneCrash)
+	return max(oneCrash*len(c.workers)/trialShare, int(oneCrash*idle)/idleTrialShare, oneCrash)
 }
 
 // mayTry reports whether another trial is within the bounds.
 func (c *Core) mayTry(weight int) bool {
+	if c.maxTrials == 0 {
+		c.maxTrials = c.countMaxTrials()
+	}
 	return c.trials+weight <= c.maxTrials
 }
 
