sched: withdraw the crash of a worker that answers the next owner; log trials

A crash read from the store was kept against its tasks when the worker, cut off for long, answered the next owner. Such crashes and those of silent workers are one map now. Lines of starts say whether they are trials.

--- a/internal/process/sched/crash.go
+++ b/internal/process/sched/crash.go
@@ -220,8 +220,11 @@
 			}, suspect)
 		}
 	}
+	if len(noted.marked) == 0 {
+		return nil
+	}
 	if cause == LossSilent {
-		c.silentCrashes[noted.worker] = noted
+		c.crashes[noted.worker] = noted
 		return nil
 	}
 	return c.confirmCrash(now, noted)
@@ -292,11 +295,11 @@
 
 // withdrawCrash forgets the crash of a worker that answers.
 func (c *Core) withdrawCrash(worker string) {
-	withdrawn := c.silentCrashes[worker]
+	withdrawn := c.crashes[worker]
 	if withdrawn == nil {
 		return
 	}
-	delete(c.silentCrashes, worker)
+	delete(c.crashes, worker)
 	for _, h := range withdrawn.marked {
 		h.marks = slices.DeleteFunc(h.marks, func(mark crashMark) bool { return mark.crash == withdrawn })
 	}
@@ -318,10 +321,10 @@
 
 // replayCrash applies a record of a crash. The suspects of a crash share its worker.
 func (c *Core) replayCrash(stage *stage, task *task, record Record) {
-	replayed := c.replayedCrashes[record.Worker]
+	replayed := c.crashes[record.Worker]
 	if replayed == nil {
 		replayed = &crash{worker: record.Worker, confirmed: true}
-		c.replayedCrashes[record.Worker] = replayed
+		c.crashes[record.Worker] = replayed
 	}
 	replayed.mark(stage.historyOrNew(task), crashMark{
 		attempt: record.Attempt, started: record.Started, prime: record.Suspect, prompt: record.Prompt,
--- a/internal/process/sched/plan.go
+++ b/internal/process/sched/plan.go
@@ -26,6 +26,8 @@
 	Ticket     string
 	// Waited is the time from the job's acceptance by this owner to the start.
 	Waited time.Duration
+	// Trial is set for a suspect of a crash, see beginTrial.
+	Trial bool
 }
 
 // StopAction stops an attempt.
@@ -311,7 +313,7 @@
 		actions = append(actions, Action{Start: &StartAction{
 			Target: attempt.worker.target(), Task: attempt.ref, Attempt: attempt.number,
 			Payload: stage.job.workflow.Payload, Checkpoint: attempt.task.checkpoint, Ticket: ticket,
-			Waited: now.BootTime - stage.job.acceptedAt,
+			Waited: now.BootTime - stage.job.acceptedAt, Trial: attempt.trialWeight > 0,
 		}})
 	}
 	return actions
--- a/internal/process/sched/sched.go
+++ b/internal/process/sched/sched.go
@@ -67,9 +67,9 @@
 	// plan left stages out because of it.
 	startLimit int
 	startsHeld bool
-	// silentCrashes are the crashes of workers that were silent, by worker ID: they may
-	// be cut off and answer again. replayedCrashes are those read from the store.
-	silentCrashes, replayedCrashes map[string]*crash
+	// crashes are those of workers that were silent, and may be cut off and answer
+	// again, and those read from the store, by worker ID.
+	crashes map[string]*crash
 	// queueRisks holds the queues of which some tasks crash their workers, by name.
 	queueRisks map[string]*queueRisk
 	// givenUp are the jobs given up since the last TakeGivenUp.
@@ -96,7 +96,7 @@
 		adviceCalls:   make(map[cairnbay.WorkflowTask]*stage),
 		runTimeRatios: make(map[string]*runTimeRatio),
 		queueRisks:    make(map[string]*queueRisk),
-		silentCrashes: make(map[string]*crash), replayedCrashes: make(map[string]*crash),
+		crashes:       make(map[string]*crash),
 	}
 }
 
--- a/internal/process/sched/worker.go
+++ b/internal/process/sched/worker.go
@@ -273,7 +273,7 @@
 // again for a silent worker, once more is known.
 func (c *Core) HandleWorkerLoss(now Moment, id string, cause LossCause) WorkerLoss {
 	var loss WorkerLoss
-	switch silent := c.silentCrashes[id]; {
+	switch silent := c.crashes[id]; {
 	case silent != nil && cause == LossCrashed && !silent.confirmed:
 		loss.Records = c.confirmCrash(now, silent)
 	case silent != nil && cause == LossDeparted:
