--- a/internal/fake/agent/crash.go
+++ b/internal/fake/agent/crash.go
@@ -96,12 +96,8 @@
 		if w.down || plan.Deadly == nil {
 			continue
 		}
-		for _, task := range w.inOrder() {
-			if begun := w.running[task].started; plan.Deadly(task) && now >= begun+plan.After() {
-				f.crashes[task]++
-				f.crash(w, begun+plan.After())
-				break
-			}
+		if crashedAt, crashes := f.deadlyCrash(w, now); crashes {
+			f.crash(w, crashedAt)
 		}
 	}
 	for _, w := range back {
@@ -109,3 +105,25 @@
 		next.address, next.life = w.address, w.life+1
 	}
 }
+
+// deadlyCrash returns when a worker has crashed under its deadly tasks, and counts the
+// crash for all of them that had begun; the caller holds the lock.
+func (f *Fleet) deadlyCrash(w *worker, now time.Duration) (at time.Duration, crashes bool) {
+	after := f.config.Crash.After()
+	var deadly []cairnbay.WorkflowTask
+	for _, task := range w.inOrder() {
+		if !f.config.Crash.Deadly(task) {
+			continue
+		}
+		deadly = append(deadly, task)
+		if due := w.running[task].started + after; due <= now && (!crashes || due < at) {
+			at, crashes = due, true
+		}
+	}
+	for _, task := range deadly {
+		if crashes && w.running[task].started <= at {
+			f.crashes[task]++
+		}
+	}
+	return at, crashes
+}
