--- a/internal/process/sched/crash.go
+++ b/internal/process/sched/crash.go
@@ -27,30 +27,9 @@
 	// nothing to do with its crash. A task that crashes its worker does so as it
 	// starts; one that does so later is found by recurringCrashes.
 	provingTime = 300 * time.Millisecond
-	// promptTime is the time from a start to a crash within which a coincidence is
-	// unlikely.
-	promptTime = 50 * time.Millisecond
-	// A task is given up after maxPromptCrashes attempts that are blamed for a prompt
-	// crash, or maxBlamedCrashes that are blamed for any, one of them alone.
-	maxPromptCrashes = 2
-	maxBlamedCrashes = 3
-	// maxCrashes is the same for attempts under which workers have crashed unexplained,
-	// whether they are blamed or not.
-	maxCrashes = 5
 	// primeWindow is the time before the last start on a crashed worker within which
 	// the prime suspects started.
 	primeWindow = 50 * time.Millisecond
-	// riskSmoothing is the weight of one start in the share of a queue's starts that
-	// crash their workers.
-	riskSmoothing = 0.02
-	// maxQueueRisk is the share from which every start of the queue is on trial.
-	maxQueueRisk = 0.1
-	// riskTime is how long after a crash the tasks of the suspects' queues are placed
-	// where a crash harms few jobs.
-	riskTime = 10 * time.Second
-	// recurringCrashes is the number of unexplained crashes under a task from which its
-	// attempts are blamed for a crash at any time, and get a worker of their own.
-	recurringCrashes = 3
 )
 
 // crash is the crash of one worker.
@@ -67,25 +46,6 @@
 	explained bool
 }
 
-// crashHistory holds the crashes of workers under a task, or under any member of a
-// gang.
-type crashHistory struct {
-	stage *stage
-	// task is the first member that was on a crashed worker for a gang.
-	task  *task
-	marks []crashMark
-}
-
-// crashMark is a crash under an attempt.
-type crashMark struct {
-	crash   *crash
-	attempt int
-	// started is set if the attempt has certainly run on the worker, prime if it was
-	// among the last that the worker had started, and prompt if the worker ceased to
-	// answer within promptTime.
-	started, prime, prompt bool
-}
-
 // GivenUp is a job that has failed because one of its tasks, or gangs, crashes the
 // workers that start it.
 type GivenUp struct {
@@ -94,81 +54,6 @@
 	Workers []string
 }
 
-// history returns the crashes under a task, nil for none.
-func (s *stage) history(task *task) *crashHistory {
-	if s.spec.Gang {
-		return s.crashes
-	}
-	return task.crashes
-}
-
-func (s *stage) historyOrNew(task *task) *crashHistory {
-	s.crashed = true
-	if existing := s.history(task); existing != nil {
-		return existing
-	}
-	added := &crashHistory{stage: s, task: task}
-	if s.spec.Gang {
-		s.crashes = added
-	} else {
-		task.crashes = added
-	}
-	return added
-}
-
-// suspected reports whether a crash is blamed on the task, alone or with others.
-func (h *crashHistory) suspected() bool {
-	return h != nil && (h.recurring() || slices.ContainsFunc(h.marks, h.blamed))
-}
-
-// needsTrial reports whether the task may start on trial only: it is a prime suspect,
-// or a suspect of several crashes. Most of the others are innocent.
-func (h *crashHistory) needsTrial() bool {
-	if h == nil {
-		return false
-	}
-	prime := func(mark crashMark) bool { return mark.prime && h.blamed(mark) }
-	return h.recurring() || slices.ContainsFunc(h.marks, prime) || h.countAttempts(h.blamed) > 1
-}
-
-func (h *crashHistory) blamed(mark crashMark) bool {
-	return slices.Contains(mark.crash.suspects, h)
-}
-
-// recurring reports whether the workers of so many attempts have crashed, without
-// another task to blame, that the task may be one that crashes them late.
-func (h *crashHistory) recurring() bool {
-	return h != nil && h.countAttempts(unexplained) >= recurringCrashes
-}
-
-func unexplained(mark crashMark) bool {
-	return mark.started && mark.crash.confirmed && !mark.crash.explained
-}
-
-// guilty reports whether the crashes suffice to give the task up: so many attempts are
-// blamed, one of them alone. The other suspects of a shared crash may have caused it.
-func (h *crashHistory) guilty() bool {
-	blamed := func(mark crashMark) bool { return mark.started && mark.crash.confirmed && h.blamed(mark) }
-	alone := func(mark crashMark) bool {
-		return blamed(mark) && len(mark.crash.suspects) == 1 && mark.crash.unknownSuspects == 0
-	}
-	prompt := func(mark crashMark) bool { return mark.prompt && blamed(mark) }
-	return slices.ContainsFunc(h.marks, alone) && (h.countAttempts(prompt) >= maxPromptCrashes ||
-		h.countAttempts(blamed) >= maxBlamedCrashes || h.countAttempts(unexplained) >= maxCrashes)
-}
-
-// countAttempts counts the attempts with a mark that counts. Several workers may crash
-// under one attempt of a gang.
-func (h *crashHistory) countAttempts(counts func(crashMark) bool) int {
-	var numbers attemptNumbers
-	for _, mark := range h.marks {
-		if counts(mark) {
-			numbers.add(mark.attempt)
-		}
-	}
-	return len(numbers)
-}
-
 // mark adds a crash under an attempt.
 func (c *crash) mark(h *crashHistory, mark crashMark, suspect bool) {
 	mark.crash = c
@@ -253,46 +138,6 @@
 	return append(records, c.judge(now, confirmed)...)
 }
 
-// queueRisk is what is known of a queue of which some tasks crash their workers.
-type queueRisk struct {
-	// until is when its tasks cease to be placed where a crash harms few jobs.
-	until time.Duration
-	// share is the share of its starts that crash their workers, an exponential moving
-	// average.
-	share float64
-}
-
-// queueRisk returns the risk of the stage's queue, and adds it where it is missing.
-func (c *Core) queueRisk(stage *stage) *queueRisk {
-	name := stage.job.workflow.Queue.Name
-	if c.queueRisks[name] == nil {
-		c.queueRisks[name] = &queueRisk{}
-	}
-	return c.queueRisks[name]
-}
-
-// observeHarmlessStart counts an attempt that has not crashed its worker, once.
-func (c *Core) observeHarmlessStart(a *attempt) {
-	if a.harmless || a.stage == nil {
-		return
-	}
-	a.harmless = true
-	if queue := c.queueRisks[a.stage.job.workflow.Queue.Name]; queue != nil {
-		queue.share -= riskSmoothing * queue.share
-	}
-}
-
-// otherJobs counts the jobs beside a given one that have attempts on the worker.
-func (w *worker) otherJobs(given *job) int {
-	jobs := make(map[*job]struct{})
-	for _, attempt := range w.attempts {
-		if attempt.stage != nil && attempt.stage.job != given {
-			jobs[attempt.stage.job] = struct{}{}
-		}
-	}
-	return len(jobs)
-}
-
 // withdrawCrash forgets the crash of a worker that answers.
 func (c *Core) withdrawCrash(worker string) {
 	withdrawn := c.crashes[worker]
@@ -306,19 +151,6 @@
 	withdrawn.suspects = nil
 }
 
-// records returns the records of a task's marks, or of those of one crash.
-func (h *crashHistory) records(of *crash) (records []Record) {
-	for _, mark := range h.marks {
-		if mark.crash.confirmed && (of == nil || mark.crash == of) {
-			records = append(records, Record{
-				Kind: RecordCrashed, Task: h.stage.ref(h.task.index), Attempt: mark.attempt,
-				Worker: mark.crash.worker, Suspect: h.blamed(mark), Started: mark.started, Prompt: mark.prompt,
-			})
-		}
-	}
-	return records
-}
-
 // replayCrash applies a record of a crash. The suspects of a crash share its worker.
 func (c *Core) replayCrash(stage *stage, task *task, record Record) {
 	replayed := c.crashes[record.Worker]
@@ -380,23 +212,6 @@
 	return records
 }
 
-// clear removes the task from the suspects of all crashes, which it returns.
-func (h *crashHistory) clear() (cleared []*crash) {
-	if h == nil {
-		return nil
-	}
-	for _, mark := range h.marks {
-		if h.blamed(mark) {
-			mark.crash.suspects = slices.DeleteFunc(mark.crash.suspects, func(other *crashHistory) bool { return other == h })
-			cleared = append(cleared, mark.crash)
-		}
-	}
-	if h.stage.spec.LongRunning {
-		h.marks = nil
-	}
-	return cleared
-}
-
 // proveAttempt ends the trial of an attempt that has run for long enough, and acquits
 // its task, or its gang once all members have.
 func (c *Core) proveAttempt(now Moment, a *attempt) []Record {
--- a/internal/process/sched/trial.go
+++ b/internal/process/sched/trial.go
@@ -25,28 +25,6 @@
 // oneCrash is the weight of a trial that certainly crashes its worker.
 const oneCrash = 1000
 
-// share is the probability that the task has caused a crash, if each suspect may have.
-func (h *crashHistory) share() float64 {
-	share := 0.0
-	if h == nil {
-		return share
-	}
-	for _, mark := range h.marks {
-		if !h.blamed(mark) {
-			continue
-		}
-		suspects := len(mark.crash.suspects)
-		if mark.prime {
-			suspects = mark.crash.primes()
-		}
-		share = max(share, 1/float64(max(suspects, 1)))
-	}
-	if h.recurring() {
-		return 1
-	}
-	return share
-}
-
 // needsTrial reports whether a task may start on trial only, for its own history or
 // because so many tasks of its queue crash their workers.
 func (c *Core) needsTrial(stage *stage, task *task) bool {
