--- a/internal/process/sched/trial.go
+++ b/internal/process/sched/trial.go
@@ -10,7 +10,7 @@
 const (
 	// trialShare bounds the crashes expected of the trials under way, and the workers
 	// away because of one: one worker in trialShare, and at least one.
-	trialShare = 10
+	trialShare = 6
 	// idleTrialShare is the same for the workers that the free capacity amounts to, while
 	// that is most of the capacity even if all other tasks that wait were running.
 	idleTrialShare = 2
