--- a/internal/fake/agent/gang_test.go
+++ b/internal/fake/agent/gang_test.go
@@ -25,6 +25,8 @@
 	runTime  = 400 * time.Millisecond
 	gangTime = 2 * time.Second
 	token    = 7
+	// shrinkGrace is how long what a worker had room for counts.
+	shrinkGrace = 5 * time.Second
 )
 
 // bench is a fleet in virtual time.
@@ -51,7 +53,8 @@
 			}
 			return members
 		},
-		GangTime: gangTime,
+		GangTime:    gangTime,
+		ShrinkGrace: shrinkGrace,
 	})
 	for index := range members {
 		b.fleet.Add(worker(index), size)
