sched: tests of what counts against a worker that shrinks

Starts on their way, starts without an answer and stops under way had no test of their own: a table now has them beside running and inherited attempts. Another one has the jobs that fit on the shrunk worker alone, a large task and a gang, which wait. All pass; no fault found.

--- a/internal/process/sched/capacity_test.go
+++ b/internal/process/sched/capacity_test.go
@@ -77,19 +77,79 @@
 		Expect(sim.completed).To(HaveLen(90))
 	}, Entry("seed 1", uint64(1)), Entry("seed 2", uint64(2)), Entry("seed 3", uint64(3)))
 
-	It("counts what a former owner has started there", func() {
+	const used = 4
+	shrinkTo := func(core *sched.Core, count float64) {
+		core.SetWorker(cairnbay.WorkerEntry{ID: "a", Address: "a", Capacity: cores(count, 4000)})
+	}
+	newCore := func(now sched.Moment, jobs ...cairnbay.Workflow) *sched.Core {
 		core := sched.New(sched.Config{AttemptBase: successionBase, StopTime: config.StopTime, Retention: time.Minute})
+		for _, job := range jobs {
+			core.Accept(now, job, false)
+		}
+		shrinkTo(core, 2*used)
+		return core
+	}
+	answerStarts := func(core *sched.Core, now sched.Moment, err error) {
+		for _, action := range core.Plan(now) {
+			core.HandleStart(now, action.Start, err)
+		}
+	}
+
+	DescribeTable("has no room for more while its tasks of four cores are", func(occupy func(core *sched.Core, now sched.Moment)) {
 		now := sched.Moment{BootTime: time.Second, UnixMS: 1000}
-		core.Accept(now, singleStep("j", quotes, 3, cores(2, 100), time.Second), true)
-		core.SetWorker(cairnbay.WorkerEntry{ID: "a", Address: "a", Capacity: cores(8, 4000)})
-		core.BeginRecovery()
-		core.HandleHold(now, "a", now.BootTime, runs(
-			cairnbay.AgentTask{Task: task("j", 0), Attempt: formerAttempt}, cairnbay.AgentTask{Task: task("j", 1), Attempt: formerAttempt},
-		))
-		core.EndRecovery()
-		core.SetWorker(cairnbay.WorkerEntry{ID: "a", Address: "a", Capacity: cores(5, 4000)})
+		core := newCore(now, singleStep("j", quotes, 2, cores(used/2, 100), time.Second))
+		occupy(core, now)
+		core.Accept(now, singleStep("next", quotes, 1, cores(2, 100), time.Second), false)
+		for _, count := range []float64{used + 1, used - 1, 0} {
+			shrinkTo(core, count)
+			Expect(startsOf(core.Plan(now))).To(BeEmpty(), "%v cores", count)
+		}
+		shrinkTo(core, used+2)
+		Expect(startsOf(core.Plan(now))).To(Equal([]string{"next"}))
+	},
+		Entry("on their way to it", func(core *sched.Core, now sched.Moment) {
+			core.HandleHold(now, "a", now.BootTime, cairnbay.AgentState{})
+			Expect(startsOf(core.Plan(now))).To(HaveLen(2))
+		}),
+		Entry("running", func(core *sched.Core, now sched.Moment) {
+			core.HandleHold(now, "a", now.BootTime, cairnbay.AgentState{})
+			answerStarts(core, now, nil)
+		}),
+		Entry("started without an answer", func(core *sched.Core, now sched.Moment) {
+			core.HandleHold(now, "a", now.BootTime, cairnbay.AgentState{})
+			answerStarts(core, now, cairnbay.ErrUnknown)
+		}),
+		Entry("being stopped", func(core *sched.Core, now sched.Moment) {
+			core.HandleHold(now, "a", now.BootTime, cairnbay.AgentState{})
+			answerStarts(core, now, nil)
+			core.Cancel(now, "j")
+			for _, action := range core.Plan(now) {
+				core.HandleStop(now, action.Stop, nil)
+			}
+		}),
+		Entry("those of a former owner", func(core *sched.Core, now sched.Moment) {
+			core.BeginRecovery()
+			core.HandleHold(now, "a", now.BootTime, runs(
+				cairnbay.AgentTask{Task: task("j", 0), Attempt: formerAttempt}, cairnbay.AgentTask{Task: task("j", 1), Attempt: formerAttempt},
+			))
+			core.EndRecovery()
+		}),
+	)
+
+	DescribeTable("keeps a job that fits on no other worker until it has grown again", func(needed float64, job cairnbay.Workflow) {
+		now := sched.Moment{BootTime: time.Second, UnixMS: 1000}
+		core := newCore(now, job)
+		core.HandleHold(now, "a", now.BootTime, cairnbay.AgentState{})
+		shrinkTo(core, needed-1)
 		Expect(core.Plan(now)).To(BeEmpty())
-		core.SetWorker(cairnbay.WorkerEntry{ID: "a", Address: "a", Capacity: cores(6, 4000)})
-		Expect(core.Plan(now)).To(HaveLen(1))
-	})
+		now.BootTime += time.Minute
+		core.Tick()
+		Expect(core.Plan(now)).To(BeEmpty())
+		Expect(core.State(job.ID)).To(Equal(cairnbay.WorkflowPending))
+		shrinkTo(core, needed)
+		Expect(startsOf(core.Plan(now))).To(HaveLen(job.Steps[0].Tasks))
+	},
+		Entry("of one large task", 6.0, singleStep("j", quotes, 1, cores(6, 100), time.Second)),
+		Entry("of a gang", 8.0, gangOf("j", 2)),
+	)
 })
--- a/internal/process/sched/starts_test.go
+++ b/internal/process/sched/starts_test.go
@@ -10,6 +10,16 @@
 	"cairnbay/internal/process/sched"
 )
 
+// startsOf returns the jobs of which actions start tasks.
+func startsOf(actions []sched.Action) (jobs []string) {
+	for _, action := range actions {
+		if action.Start != nil {
+			jobs = append(jobs, action.Start.Task.Job)
+		}
+	}
+	return jobs
+}
+
 var _ = Describe("starts", func() {
 	var (
 		core *sched.Core
@@ -21,14 +31,6 @@
 		core.SetWorker(cairnbay.WorkerEntry{ID: "w", Capacity: cores(8, 8000)})
 		core.HandleHold(now, "w", now.BootTime, cairnbay.AgentState{})
 	})
-	startsOf := func(actions []sched.Action) (jobs []string) {
-		for _, action := range actions {
-			if action.Start != nil {
-				jobs = append(jobs, action.Start.Task.Job)
-			}
-		}
-		return jobs
-	}
 
 	// A burst of patient work that the owner orders slower than it arrives, and one
 	// urgent job after it.
