--- a/internal/tool/soak/soak_test.go
+++ b/internal/tool/soak/soak_test.go
@@ -39,6 +39,8 @@
 			err := soak.Run(context.Background(), config)
 			Expect(err).NotTo(HaveOccurred(), "%s", out.String())
 		},
+		// A worker shrank twice before its owner could know; the stand-in compared with
+		// the capacity between the two.
 		Entry("a short run", 1, 1, 8*time.Second),
 		Entry("a short run over three shards", 2, 3, 8*time.Second),
 		// The late answer to a write of an owner's key overwrote the news of its
