sched: crashes of silent workers do not keep removed jobs in memory

Removed jobs are now dropped from the crashes that are kept, and so are crashes without any other; as suspects they still count, so that nobody is alone with the blame because of it.

"do not keep jobs in memory beyond their retention" failed before (two jobs held).

--- a/internal/process/sched/crash.go
+++ b/internal/process/sched/crash.go
@@ -151,6 +151,21 @@
 	withdrawn.suspects = nil
 }
 
+// forgetCrashes drops the removed jobs from the crashes that are kept, and crashes
+// without any other. Their suspects still share the blame.
+func (c *Core) forgetCrashes() {
+	removed := func(h *crashHistory) bool { return c.jobs[h.stage.job.workflow.ID] != h.stage.job }
+	for worker, kept := range c.crashes {
+		kept.marked = slices.DeleteFunc(kept.marked, removed)
+		suspects := len(kept.suspects)
+		kept.suspects = slices.DeleteFunc(kept.suspects, removed)
+		kept.unknownSuspects += suspects - len(kept.suspects)
+		if len(kept.marked) == 0 {
+			delete(c.crashes, worker)
+		}
+	}
+}
+
 // replayCrash applies a record of a crash. The suspects of a crash share its worker.
 func (c *Core) replayCrash(stage *stage, task *task, record Record) {
 	replayed := c.crashes[record.Worker]
--- a/internal/process/sched/sched.go
+++ b/internal/process/sched/sched.go
@@ -254,6 +254,9 @@
 			removed = append(removed, id)
 		}
 	}
+	if len(removed) > 0 {
+		c.forgetCrashes()
+	}
 	return removed
 }
 
