--- a/internal/process/drive/link.go
+++ b/internal/process/drive/link.go
@@ -26,6 +26,8 @@
 	leaseEnd time.Duration
 	// confirmedAt is the boot time at which the last accepted call was sent.
 	confirmedAt time.Duration
+	// incarnation is the ID of the run of the worker process in its latest answer.
+	incarnation string
 	// acked is the sequence of the last attempt end that is in the store.
 	acked uint64
 	// storing holds the sequences of the last ends of the records that are being
@@ -288,6 +290,15 @@
 		d.config.Log.WithFields(logrus.Fields{"worker": l.entry.ID, "failures": l.failures}).Info("worker regained")
 		l.failures, l.lapsed = 0, false
 	}
+	if state.Worker != l.incarnation {
+		if l.incarnation != "" {
+			d.meters.workerRestarted()
+			d.config.Log.WithFields(logrus.Fields{
+				"worker": state.Worker, "former": l.incarnation, "acknowledged": l.acked, "running": len(state.Running),
+			}).Warn("worker restarted")
+		}
+		l.incarnation = state.Worker
+	}
 	unjournaled := !l.journaled
 	if !unjournaled {
 		d.core.SetReachable(d.now(), l.entry.ID, true)
@@ -296,7 +307,7 @@
 	d.logGivenUp()
 	d.resolveInherited(l.entry.ID)
 	d.mu.Unlock()
-	d.logEnds(l, result.Ends)
+	d.logEnds(l, result)
 	records := encodeRecords(result.Records)
 	if unjournaled {
 		records = append(records, &cairnbayv1.WorkRecord{Worker: encodeWorker(l.entry)})
@@ -352,8 +363,16 @@
 	}
 }
 
-func (d *Drive) logEnds(l *link, ends []sched.AttemptEnd) {
-	for _, ended := range ends {
+// logEnds logs what has become of the attempts on a worker.
+func (d *Drive) logEnds(l *link, result sched.HoldResult) {
+	for _, unlisted := range result.Unlisted {
+		d.meters.attemptUnlisted()
+		d.config.Log.WithFields(logrus.Fields{
+			"job": unlisted.Task.Job, "task": taskIndexes(unlisted.Task), "attempt": unlisted.Attempt,
+			"worker": l.entry.ID, "ran_at_least_ms": unlisted.RanAtLeast.Milliseconds(),
+		}).Warn("attempt no longer listed")
+	}
+	for _, ended := range result.Ends {
 		d.meters.attemptEnded(ended.End.Reason)
 		if ended.Incomplete != "" {
 			d.meters.gangIncomplete(ended.Incomplete)
@@ -365,6 +384,7 @@
 		d.config.Log.WithFields(logrus.Fields{
 			"job": ended.End.Task.Job, "task": taskIndexes(ended.End.Task), "attempt": ended.End.Attempt,
 			"worker": l.entry.ID, "reason": ended.End.Reason, "ran_ms": ended.RunTime.Milliseconds(), "known": ended.JobKnown,
+			"sequence": ended.End.Sequence,
 		}).Info("attempt ended")
 	}
 }
--- a/internal/process/drive/meters.go
+++ b/internal/process/drive/meters.go
@@ -48,6 +48,14 @@
 	}
 }
 
+func (m meters) workerRestarted() {
+	m.counter("cairnbay_workers_restarted_total", "").Inc()
+}
+
+func (m meters) attemptUnlisted() {
+	m.counter("cairnbay_attempts_unlisted_total", "").Inc()
+}
+
 func (m meters) jobGivenUp() {
 	m.counter("cairnbay_jobs_given_up_total", "").Inc()
 }
--- a/internal/process/sched/result.go
+++ b/internal/process/sched/result.go
@@ -152,6 +152,8 @@
 	// LastSequence is the sequence of the last end that was handled.
 	LastSequence uint64
 	Ends         []AttemptEnd
+	// Unlisted are the attempts that were running and that the worker no longer lists.
+	Unlisted []LostAttempt
 }
 
 // HandleHold processes the state that a worker returned to a hold, the call
@@ -187,7 +189,9 @@
 	}
 	for ref, attempt := range worker.attempts {
 		if number, ok := listed[ref]; !ok || number != attempt.number {
-			c.handleMissing(now, attempt, sent)
+			if c.handleMissing(now, attempt, sent) {
+				result.Unlisted = append(result.Unlisted, LostAttempt{attempt.ref, attempt.number, attempt.ranAtLeast()})
+			}
 		}
 	}
 	return result
@@ -279,9 +283,9 @@
 
 // handleMissing processes an attempt that its worker lists neither as running
 // nor as ended. It is over if a stop was answered before the hold was sent. It
-// becomes uncertain if it was running by then; otherwise its start may have
-// arrived after the hold.
-func (c *Core) handleMissing(now Moment, a *attempt, sent time.Duration) {
+// becomes uncertain if it was running by then, and handleMissing returns true;
+// otherwise its start may have arrived after the hold.
+func (c *Core) handleMissing(now Moment, a *attempt, sent time.Duration) (unlisted bool) {
 	switch {
 	case a.stopAnsweredAt > 0 && a.stopAnsweredAt < sent:
 		c.detach(a)
@@ -289,7 +293,9 @@
 	case a.phase == phaseRunning && a.phaseSince < sent:
 		a.phase = phaseUncertain
 		a.phaseSince = now.BootTime
+		return true
 	}
+	return false
 }
 
 // handleEnd processes one end of a worker's state.
--- a/workflow.go
+++ b/workflow.go
@@ -271,6 +271,9 @@
 
 // AgentState is a worker's answer to AgentHold.
 type AgentState struct {
+	// Worker is the ID of the run of the worker process that answered, the ID of the
+	// target if the answer does not tell.
+	Worker string
 	// Clock is the worker's monotonic clock at the time of the answer.
 	Clock   time.Duration
 	Running []AgentTask
