drive, fake/agent: workers that restart under their old name, known red

The stand-in workers tell the start of their process, and come back from a crash under their name with their counts, their clock and all else anew.

--- a/internal/fake/agent/agent.go
+++ b/internal/fake/agent/agent.go
@@ -33,6 +33,11 @@
 	GangTime time.Duration
 	// Crash says which tasks crash their workers.
 	Crash CrashPlan
+	// Incarnations says that the workers tell the start of their process, and have the
+	// same name after a crash.
+	Incarnations bool
+	// MaxLease is the longest lease of a worker; 0 for no limit.
+	MaxLease time.Duration
 	// ShrinkGrace is how long after a change of its capacity a worker may still be
 	// given what it had room for before, whatever changes have followed.
 	ShrinkGrace time.Duration
@@ -44,6 +49,8 @@
 
 	mu      sync.Mutex
 	workers map[string]*worker
+	// current are the latest lives of the workers, by name.
+	current map[string]*worker
 	late    []lateOrder
 	// done are the tasks whose end done was acknowledged.
 	done map[cairnbay.WorkflowTask]bool
@@ -66,6 +73,9 @@
 }
 
 type worker struct {
+	// id is what AgentState.Worker says of this life. Its clock began at epoch.
+	id    string
+	epoch time.Duration
 	// address is the ID of the first life at the worker's address, life the number
 	// of this one.
 	address  string
@@ -73,6 +83,7 @@
 	capacity cairnbay.Resources
 	// former are the capacities that the worker has had within ShrinkGrace.
 	former  []formerCapacity
+	// lease is the end of the lease, on the clock of the fleet.
 	lease   time.Duration
 	token   uint64
 	running map[cairnbay.WorkflowTask]run
@@ -85,10 +96,11 @@
 	// cut workers get no calls; mute ones carry out calls without an answer.
 	cut, mute bool
 	// down workers have crashed and answer nothing until backAt; gone ones are
-	// replaced by another life.
-	down   bool
-	backAt time.Duration
-	gone   bool
+	// replaced by another life, with the same name if keepsName is set.
+	down      bool
+	backAt    time.Duration
+	gone      bool
+	keepsName bool
 	// lapsed says that the lease has ended once; ends from before then do not
 	// forbid another start.
 	lapsed bool
@@ -137,7 +149,7 @@
 // New returns a fleet without workers.
 func New(config Config) *Fleet {
 	return &Fleet{
-		config: config, workers: make(map[string]*worker), done: make(map[cairnbay.WorkflowTask]bool),
+		config: config, workers: make(map[string]*worker), current: make(map[string]*worker), done: make(map[cairnbay.WorkflowTask]bool),
 		started: make(map[string]bool), ended: make(map[string]map[cairnbay.WorkflowTask]bool),
 		begun: make(map[cairnbay.WorkflowTask]time.Duration), gangs: make(map[gangRun]*gang),
 		together: make(map[cairnbay.WorkflowTask][]cairnbay.WorkflowTask),
@@ -155,12 +167,21 @@
 }
 
 // add adds the first life of a worker; the caller holds the lock.
-func (f *Fleet) add(id string, capacity cairnbay.Resources) *worker {
-	added := &worker{
-		address: id, life: 1, capacity: capacity, running: make(map[cairnbay.WorkflowTask]run),
-		highest: make(map[cairnbay.WorkflowTask]int), endedAt: make(map[uint64]time.Duration),
+func (f *Fleet) add(name string, capacity cairnbay.Resources) *worker {
+	return f.addLife(name, &worker{address: name, life: 1, capacity: capacity})
+}
+
+// addLife adds a life of a worker; the caller holds the lock.
+func (f *Fleet) addLife(name string, added *worker) *worker {
+	added.id = name
+	if f.config.Incarnations {
+		added.id = cairnbay.IncarnationID(name, bornUnixMS(added.life))
+		added.epoch = f.config.Now()
 	}
-	f.workers[id] = added
+	added.running = make(map[cairnbay.WorkflowTask]run)
+	added.highest = make(map[cairnbay.WorkflowTask]int)
+	added.endedAt = make(map[uint64]time.Duration)
+	f.workers[added.id], f.current[name] = added, added
 	return added
 }
 
@@ -193,7 +214,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.settle()
-	change(f.workers[id])
+	change(f.current[cairnbay.WorkerName(id)])
 }
 
 // Broken lists the violations seen so far.
@@ -209,7 +230,7 @@
 	defer f.mu.Unlock()
 	f.settle()
 	var tasks []cairnbay.WorkflowTask
-	for task := range f.workers[id].running {
+	for task := range f.current[cairnbay.WorkerName(id)].running {
 		tasks = append(tasks, task)
 	}
 	return tasks
@@ -261,7 +282,7 @@
 			later = append(later, order)
 			continue
 		}
-		if w := f.workers[order.target.Worker]; !w.gone && !w.cut && !w.down {
+		if w := f.current[cairnbay.WorkerName(order.target.Worker)]; !w.gone && !w.cut && !w.down {
 			_ = f.begin(w, order.target, order.order)
 		}
 	}
@@ -283,10 +304,11 @@
 	f.endGang(one.gang, cairnbay.AgentGangEnded)
 }
 
-// call finds the worker of a call; answers says whether it answers.
+// call finds the worker of a call, whichever life of it the call was meant for; answers
+// says whether it answers.
 func (f *Fleet) call(target cairnbay.AgentTarget, token uint64) (w *worker, answers bool, err error) {
 	f.settle()
-	w = f.workers[target.Worker]
+	w = f.current[cairnbay.WorkerName(target.Worker)]
 	switch {
 	case w == nil || w.cut || w.down:
 		return nil, false, cairnbay.ErrUnknown
@@ -311,7 +333,15 @@
 	if !answers {
 		return 0, cairnbay.ErrUnknown
 	}
-	return f.config.Now(), err
+	return f.config.Now() - w.epoch, err
+}
+
+// extendLease renews the lease up to a time on the worker's clock.
+func (f *Fleet) extendLease(w *worker, end time.Duration) {
+	if f.config.MaxLease > 0 {
+		end = min(end, f.config.Now()-w.epoch+f.config.MaxLease)
+	}
+	w.lease = max(w.lease, end+w.epoch)
 }
 
 func (f *Fleet) begin(w *worker, target cairnbay.AgentTarget, order cairnbay.AgentStart) error {
@@ -319,10 +349,11 @@
 	switch {
 	case order.Token < w.token:
 		return cairnbay.ErrFenced
-	case order.LeaseEnd <= now:
+	case order.LeaseEnd+w.epoch <= now:
 		return cairnbay.ErrStartExpired
 	}
-	w.lease = max(w.lease, order.LeaseEnd)
+	w.token = order.Token
+	f.extendLease(w, order.LeaseEnd)
 	if one, ok := w.running[order.Task]; ok && one.attempt == order.Attempt {
 		return nil
 	}
@@ -380,17 +411,18 @@
 	if !answers {
 		return 0, cairnbay.ErrUnknown
 	}
-	return f.config.Now(), nil
+	return f.config.Now() - w.epoch, nil
 }
 
 // Throttle implements cairnbay.Agent.
 func (f *Fleet) Throttle(_ context.Context, target cairnbay.AgentTarget, order cairnbay.AgentThrottle) (time.Duration, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if _, _, err := f.call(target, order.Token); err != nil {
+	w, _, err := f.call(target, order.Token)
+	if err != nil {
 		return 0, err
 	}
-	return f.config.Now(), nil
+	return f.config.Now() - w.epoch, nil
 }
 
 // Hold implements cairnbay.Agent. It answers at once.
@@ -401,7 +433,9 @@
 	if err != nil {
 		return cairnbay.AgentState{}, err
 	}
-	w.lease = max(w.lease, order.LeaseEnd)
+	if order.LeaseEnd > 0 {
+		f.extendLease(w, order.LeaseEnd)
+	}
 	w.ends = slices.DeleteFunc(w.ends, func(end cairnbay.AgentEnd) bool {
 		if end.Sequence > order.Acked {
 			return false
@@ -414,7 +448,7 @@
 	if !answers {
 		return cairnbay.AgentState{}, cairnbay.ErrUnknown
 	}
-	state := cairnbay.AgentState{Clock: f.config.Now(), Ended: slices.Clone(w.ends)}
+	state := cairnbay.AgentState{Worker: w.id, Clock: f.config.Now() - w.epoch, Ended: slices.Clone(w.ends)}
 	for _, task := range w.inOrder() {
 		one := w.running[task]
 		state.Running = append(state.Running, cairnbay.AgentTask{
--- a/internal/fake/agent/crash.go
+++ b/internal/fake/agent/crash.go
@@ -23,7 +23,16 @@
 // Life is one life of a worker.
 type Life struct {
 	ID, Address string
-	Capacity    cairnbay.Resources
+	// BornUnixMS is what the worker says of the start of its process, 0 if it does not.
+	BornUnixMS int64
+	Capacity   cairnbay.Resources
+}
+
+// bornUnixMS is when a life began by the clock of its machine, which jumps back now and
+// then.
+func bornUnixMS(life int) int64 {
+	const start, jump, period = 1_000_000_000, 600_000, 3
+	return start + int64(life)*1000 - int64(life%period)*jump
 }
 
 // Lives lists the workers that answer, in order of their IDs.
@@ -34,7 +43,11 @@
 	var lives []Life
 	for id, w := range f.workers {
 		if !w.gone && !w.down {
-			lives = append(lives, Life{ID: id, Address: w.address, Capacity: w.capacity})
+			listed := Life{ID: id, Address: w.address, Capacity: w.capacity}
+			if f.config.Incarnations {
+				listed.BornUnixMS = bornUnixMS(w.life)
+			}
+			lives = append(lives, listed)
 		}
 	}
 	slices.SortFunc(lives, func(a, b Life) int { return strings.Compare(a.ID, b.ID) })
@@ -46,6 +59,16 @@
 	f.set(id, func(w *worker) { f.crash(w, f.config.Now()) })
 }
 
+// Restart crashes a worker, which is back after a while under the same name and with
+// another capacity.
+func (f *Fleet) Restart(id string, downtime time.Duration, capacity cairnbay.Resources) {
+	f.set(id, func(w *worker) {
+		f.crash(w, f.config.Now())
+		w.backAt, w.capacity, w.keepsName = f.config.Now()+downtime, capacity, true
+		f.settleCrashes(f.config.Now())
+	})
+}
+
 // Resize changes the capacity of a worker. What runs there goes on.
 func (f *Fleet) Resize(id string, capacity cairnbay.Resources) {
 	f.set(id, func(w *worker) {
@@ -67,7 +90,7 @@
 // crash ends all that runs on a worker, without ends that anybody sees; the caller
 // holds the lock.
 func (f *Fleet) crash(w *worker, now time.Duration) {
-	w.down, w.backAt = true, now+f.config.Crash.Downtime
+	w.down, w.backAt, w.keepsName = true, now+f.config.Crash.Downtime, f.config.Incarnations
 	f.clear(w)
 }
 
@@ -83,8 +106,8 @@
 	}
 }
 
-// settleCrashes crashes the workers under deadly tasks, and brings crashed ones back
-// under another ID; the caller holds the lock.
+// settleCrashes crashes the workers under deadly tasks, and brings crashed ones back as
+// another life; the caller holds the lock.
 func (f *Fleet) settleCrashes(now time.Duration) {
 	plan := f.config.Crash
 	var back []*worker
@@ -104,8 +127,11 @@
 		}
 	}
 	for _, w := range back {
-		next := f.add(fmt.Sprintf("%s+%d", w.address, w.life+1), w.capacity)
-		next.address, next.life = w.address, w.life+1
+		name := cairnbay.WorkerName(w.id)
+		if !w.keepsName {
+			name = fmt.Sprintf("%s+%d", w.address, w.life+1)
+		}
+		f.addLife(name, &worker{address: w.address, life: w.life + 1, capacity: w.capacity, cut: w.cut})
 	}
 }
 
--- a/internal/process/drive/drive_test.go
+++ b/internal/process/drive/drive_test.go
@@ -45,6 +45,8 @@
 	clock      *timer.Service
 	log        *logrus.Entry
 	workers    []string
+	// listed returns the platform's list; nil for one entry for each of workers.
+	listed     func() []cairnbay.WorkerEntry
 	generation uint64
 	fence      cairnbay.Expectation
 	// afterRestart says that the next owner is the former owner, restarted.
@@ -123,6 +125,9 @@
 }
 
 func (c *cluster) entries() []cairnbay.WorkerEntry {
+	if c.listed != nil {
+		return c.listed()
+	}
 	entries := make([]cairnbay.WorkerEntry, 0, len(c.workers))
 	for _, id := range c.workers {
 		entries = append(entries, cairnbay.WorkerEntry{
--- /dev/null
+++ b/internal/process/drive/restart_test.go
@@ -0,0 +1,152 @@
+package drive_test
+
+import (
+	"fmt"
+	"net"
+	"net/http/httptest"
+	"os"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"cairnbay"
+	"cairnbay/internal/fake/agent"
+	"cairnbay/internal/process/drive"
+	"cairnbay/internal/process/timer"
+	"cairnbay/platform"
+	"cairnbay/platform/stand"
+)
+
+const (
+	// maxWorkerLease is the longest lease that a worker accepts, and restartJobs the
+	// number of jobs that run while workers restart.
+	maxWorkerLease = 2 * lease
+	restartJobs    = 12
+)
+
+var restartSize = cairnbay.Resources{MilliCPU: 4000, MemoryMB: 400}
+
+// restartCluster is a cluster whose workers restart under their old names, called as
+// the platform's workers are.
+type restartCluster struct {
+	*cluster
+	names []string
+
+	mu    sync.Mutex
+	owner *drive.Drive
+}
+
+func newRestartCluster() *restartCluster {
+	c := &restartCluster{cluster: newCluster(0), names: []string{"w0", "w1", "w2", "w3"}}
+	c.fleet = agent.New(agent.Config{
+		Now:     timer.Boot,
+		RunTime: func(cairnbay.WorkflowTask) time.Duration { return time.Duration(c.runTime.Load()) },
+		Size: func(cairnbay.WorkflowTask) cairnbay.Resources {
+			return cairnbay.Resources{MilliCPU: 1000, MemoryMB: 100}
+		},
+		Crash: agent.CrashPlan{
+			Deadly:   func(task cairnbay.WorkflowTask) bool { return task == deadlyTask },
+			After:    func() time.Duration { return 10 * time.Millisecond },
+			Downtime: crashDowntime,
+		},
+		Incarnations: true, MaxLease: maxWorkerLease,
+	})
+	for _, name := range c.names {
+		c.fleet.Add(name, restartSize)
+	}
+	server := httptest.NewServer(stand.Worker(c.fleet))
+	DeferCleanup(server.Close)
+	c.agent = platform.NewAgent(&net.Dialer{}, time.Second)
+	c.listed = func() (entries []cairnbay.WorkerEntry) {
+		for _, life := range c.fleet.Lives() {
+			entry, err := platform.DecodeWorker(platform.WorkerPrefix+life.Address,
+				stand.Entry(class, server.Listener.Addr().String(), "r", life.Capacity, life.BornUnixMS))
+			Expect(err).NotTo(HaveOccurred())
+			entries = append(entries, entry)
+		}
+		return entries
+	}
+	DeferCleanup(c.clock.Every(20*time.Millisecond, func(time.Duration) {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if c.owner != nil {
+			c.owner.SetWorkers(c.entries())
+		}
+	}))
+	c.replaceOwner()
+	return c
+}
+
+func (c *restartCluster) replaceOwner() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.owner != nil {
+		c.owner.Close()
+	}
+	c.owner = c.startOwner()
+	DeferCleanup(c.owner.Close)
+}
+
+// restartAll restarts one worker after the other.
+func (c *restartCluster) restartAll(downtime time.Duration) {
+	for _, name := range c.names {
+		c.fleet.Restart(name, downtime, restartSize)
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+var _ = Describe("a worker that restarts under its old name", func() {
+	DescribeTable("runs no task again that ended, and all jobs complete", func(disrupt func(*restartCluster)) {
+		if os.Getenv("CAIRNBAY_SKIP_KNOWN_RED") != "" {
+			Skip("KNOWN-RED.txt")
+		}
+		c := newRestartCluster()
+		for i := range restartJobs {
+			c.accept(c.owner, fmt.Sprint("before", i))
+		}
+		disrupt(c)
+		for i := range restartJobs {
+			c.accept(c.owner, fmt.Sprint("after", i))
+		}
+		for i := range restartJobs {
+			for _, id := range []string{fmt.Sprint("before", i), fmt.Sprint("after", i)} {
+				Eventually(func() any { return jobState(c.owner, id)() }, "20s").Should(Equal(cairnbay.WorkflowCompleted), id)
+			}
+		}
+		Expect(c.fleet.Broken()).To(BeEmpty())
+	},
+		Entry("at once", func(c *restartCluster) { c.restartAll(0) }),
+		Entry("after its lease", func(c *restartCluster) { c.restartAll(2 * lease) }),
+		Entry("after its tasks have ended", func(c *restartCluster) {
+			for i := range restartJobs {
+				Eventually(jobState(c.owner, fmt.Sprint("before", i)), "20s").Should(Equal(cairnbay.WorkflowCompleted))
+			}
+			c.restartAll(0)
+		}),
+		Entry("while its owner is replaced", func(c *restartCluster) {
+			c.restartAll(0)
+			c.replaceOwner()
+			c.restartAll(50 * time.Millisecond)
+		}),
+		Entry("while the store is away", func(c *restartCluster) {
+			c.store.SetDown(true)
+			c.restartAll(0)
+			time.Sleep(lease)
+			c.restartAll(0)
+			c.store.SetDown(false)
+		}),
+	)
+
+	It("counts as crashed under a task that crashes its workers", func() {
+		if os.Getenv("CAIRNBAY_SKIP_KNOWN_RED") != "" {
+			Skip("KNOWN-RED.txt")
+		}
+		c := newRestartCluster()
+		c.accept(c.owner, deadlyJob)
+		Eventually(func() any { return jobState(c.owner, deadlyJob)() }, "20s").Should(Equal(cairnbay.WorkflowFailed))
+		Expect(c.fleet.CrashCount(deadlyTask)).To(BeNumerically("<=", maxCrashes))
+		Expect(c.fleet.Broken()).To(BeEmpty())
+	})
+})
--- a/internal/tool/soak/world.go
+++ b/internal/tool/soak/world.go
@@ -187,7 +187,7 @@
 
 // putEntry writes the entry of a worker; the caller holds the lock.
 func (w *world) putEntry(worker int, capacity cairnbay.Resources) {
-	w.put(platform.WorkerPrefix+w.workers[worker], stand.Entry(class, w.toWorker[worker].Address(), rackName(worker), capacity))
+	w.put(platform.WorkerPrefix+w.workers[worker], stand.Entry(class, w.toWorker[worker].Address(), rackName(worker), capacity, 0))
 }
 
 // gangSize is the number of members of a job's gangs, 0 for a job without them.
