drive: acknowledge no ends to a run that has not answered

What callers saw: tasks ran again after their end (TWICE), now and then. Cause: a renewal after one without an answer still acknowledged the ends of the run that had answered before. A new run that had carried out repeated starts by then dropped the ends of its own up to that number. Change: a renewal acknowledges ends only if the one before was answered and listed some; a worker keeps what it listed.

Seen: "acknowledges no ends to a run" failed before (it acknowledged 4).

--- a/internal/process/drive/link.go
+++ b/internal/process/drive/link.go
@@ -34,6 +34,9 @@
 	confirmedAt time.Duration
 	// acked is the sequence of the last attempt end that is in the store.
 	acked uint64
+	// listsEnds says that the latest answer listed ends, which the worker keeps until
+	// they are acknowledged.
+	listsEnds bool
 	// storing holds the sequences of the last ends of the records that are being
 	// stored, oldest first. Later records may be stored before earlier ones.
 	storing []*storingEnds
@@ -189,7 +192,12 @@
 	}
 	sent := d.config.BootTime()
 	target := l.target()
-	order := cairnbay.AgentHold{Token: l.lineage.token, Acked: l.acked, Wait: renewWait}
+	order := cairnbay.AgentHold{Token: l.lineage.token, Wait: renewWait}
+	// A renewal after one without an answer may reach another run, which numbers its ends
+	// anew and must not drop any of them.
+	if l.listsEnds && l.failures == 0 {
+		order.Acked = l.acked
+	}
 	// A renewal without an answer may have extended the lease. Renewals of a
 	// silent worker stop, so that its lease is known to end.
 	if d.ownershipConfirmed(sent) && (l.failures == 0 || sent-l.answeredAt <= maxRenewSilence) {
@@ -315,6 +323,7 @@
 	}
 	now := d.now()
 	l.updateClock(state.Clock, sent, now.BootTime)
+	l.listsEnds = len(state.Ended) > 0
 	if l.failures > 0 {
 		d.config.Log.WithFields(logrus.Fields{"worker": l.entry.ID, "failures": l.failures}).Info("worker regained")
 		l.failures, l.lapsed = 0, false
