drive: a restarted worker may have a longer lease than this owner has granted

What callers would see: a task that runs twice at once (TWICE). Cause: the end of a lease is a time on the worker's clock. A renewal meant for the former run, with a time of its clock, gives the new run, whose clock starts anew, the longest lease that it accepts, while the owner counts with the shorter one that it grants. When the worker was then cut off, its tasks started elsewhere up to hold-max too early. Change: after a restart the owner assumes the longest lease, whose bound is in the settings file already.

--- a/internal/process/drive/drive.go
+++ b/internal/process/drive/drive.go
@@ -46,6 +46,8 @@
 	MaxGrowth int
 	// Lease is how long a worker runs its tasks without a renewal.
 	Lease time.Duration
+	// MaxLease is the longest lease that a worker accepts.
+	MaxLease time.Duration
 	// EntryTTL is how long a worker stays on the platform's list after its last
 	// contact with the platform.
 	EntryTTL time.Duration
--- a/internal/process/drive/drive_test.go
+++ b/internal/process/drive/drive_test.go
@@ -104,7 +104,7 @@
 	c.fence = cairnbay.Expectation{Key: "generation", Revision: revision}
 	owner := drive.New(drive.Config{
 		Claim: tenure.Claim{Shard: class, Token: uint64(revision), Generation: c.generation, Fence: c.fence, ClaimedAt: timer.Boot(), AfterRestart: c.afterRestart, StoreHealthyFor: time.Hour},
-		Store: c.store, Agent: cmp.Or[cairnbay.Agent](c.agent, c.fleet), Clock: c.clock, BootTime: timer.Boot, Log: c.log, Lease: c.lease, EntryTTL: 4500 * time.Millisecond,
+		Store: c.store, Agent: cmp.Or[cairnbay.Agent](c.agent, c.fleet), Clock: c.clock, BootTime: timer.Boot, Log: c.log, Lease: c.lease, MaxLease: maxWorkerLease, EntryTTL: 4500 * time.Millisecond,
 		AdviceLimits: func() (int, int) { return 4, 4 },
 		Advise:       c.advise,
 		MaxSegments:  c.maxSegments,
--- a/internal/process/drive/lineage.go
+++ b/internal/process/drive/lineage.go
@@ -157,6 +157,11 @@
 		former.dropped = true
 		l.lineage.end(id)
 		ended = append(ended, id)
+		if former.answeredAt > 0 {
+			// A call for the former run, with times of its clock, may have given this one
+			// the longest lease.
+			l.leaseEnd = max(l.leaseEnd, l.clock+d.config.MaxLease)
+		}
 	}
 	l.lineage.former = nil
 	return ended, released
--- a/internal/process/drive/restart_test.go
+++ b/internal/process/drive/restart_test.go
@@ -277,6 +277,27 @@
 		Expect(calls.acked.Load()).To(BeZero())
 	})
 
+	It("counts as running for the lease that a renewal for its former run has given it", func() {
+		c := newRestartCluster()
+		c.runTime.Store(int64(2 * maxWorkerLease))
+		time.Sleep(maxWorkerLease) // The former clock is that far ahead of the new one.
+		for _, name := range c.names[1:] {
+			c.fleet.Resize(name, cairnbay.Resources{})
+		}
+		c.listBorn("w0", c.born("w0")) // The owner learns of the restart by a renewal.
+		c.fleet.Restart("w0", 0, restartSize)
+		time.Sleep(restartPause)
+		c.listBorn("w0", 0)
+		c.accept(c.owner, "j")
+		Eventually(func() any { return c.fleet.Running("w0") }, "5s", "1ms").Should(HaveLen(3))
+		c.fleet.Cut("w0", true)
+		for _, name := range c.names[1:] {
+			c.fleet.Resize(name, restartSize)
+		}
+		Eventually(func() int { return c.fleet.Starts() }, "10s").Should(BeNumerically(">", 3))
+		Expect(c.fleet.Broken()).To(BeEmpty())
+	})
+
 	It("counts as crashed under a task that crashes its workers", func() {
 		c := newRestartCluster()
 		c.accept(c.owner, deadlyJob)
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -59,6 +59,8 @@
 	Grace time.Duration
 	// Lease is the duration of a worker's lease from each renewal.
 	Lease time.Duration
+	// MaxLease is the longest lease that a worker accepts.
+	MaxLease time.Duration
 	// EntryTTL is how long a worker's entry remains after the worker's last contact
 	// with the platform.
 	EntryTTL time.Duration
@@ -347,7 +349,7 @@
 		Claim: claim, Store: n.config.Platform.Store, Agent: n.config.Platform.Agent,
 		Advise: advise, AdviceLimits: func() (int, int) { return n.advicePool.Limits(n.position(claim.Shard)) },
 		Clock: n.config.Clock, BootTime: timer.Boot, Log: n.config.Log, Metrics: n.config.Metrics,
-		Sched: n.config.Sched, Lease: n.config.Lease, EntryTTL: n.config.EntryTTL, MaxSegments: maxSegments, MaxGrowth: maxGrowth,
+		Sched: n.config.Sched, Lease: n.config.Lease, MaxLease: n.config.MaxLease, EntryTTL: n.config.EntryTTL, MaxSegments: maxSegments, MaxGrowth: maxGrowth,
 		OnFenced: func() { n.background.Go(func() { n.tenure.Abandon(claim.Shard) }) },
 	})
 	acquired := &ownedShard{drive: shardDrive, workers: newWorkerList(n, claim.Shard, shardDrive)}
--- a/internal/tool/serve/node.go
+++ b/internal/tool/serve/node.go
@@ -110,7 +110,7 @@
 		MemberAddress:  net.JoinHostPort(settings.IP, strconv.Itoa(settings.MemberPort)),
 		MetricsAddress: net.JoinHostPort(settings.IP, strconv.Itoa(settings.MetricsPort)),
 		Cores:          settings.Cores, LinkMbps: settings.LinkMbps, Grace: settings.Grace,
-		Lease: min(workerLease, settings.MaxLease), StoreLease: max(storeLease, settings.StoreMinLease),
+		Lease: min(workerLease, settings.MaxLease), MaxLease: settings.MaxLease, StoreLease: max(storeLease, settings.StoreMinLease),
 		EntryTTL:          settings.EntryTTL,
 		WatchStallTimeout: watchStall,
 		Sched: sched.Config{
