drive: a worker that restarts in another class ends no owner

Cause: a call for the former run of a worker raises the fencing token that the new run has seen. If that works for another class, the owner of the one refuses to go on when it meets the token of the other: one worker that reported a higher token ended an owner. Change: of workers that may restart under their name, two must refuse the token; after a single refusal the owner calls again with a later token of its own, which is refused for good only if a newer owner has followed. A run that the list does not have is let go of after a refusal, or when nothing runs there for a while.

--- a/internal/process/drive/drive.go
+++ b/internal/process/drive/drive.go
@@ -88,6 +88,9 @@
 	// replaced holds the workers that the list still contains although another worker
 	// answers at their address.
 	replaced map[string]cairnbay.AgentTarget
+	// refusals are the IDs of the workers that have refused the token since they last
+	// answered.
+	refusals map[string]struct{}
 	// pending are the submissions being stored, by job ID.
 	pending map[string]*submission
 	// recordsStored is closed and replaced when records of attempt ends are stored.
@@ -158,7 +161,7 @@
 		config: config, ctx: ctx, cancel: cancel, planDue: make(chan struct{}, 1), compactDue: make(chan struct{}, 1),
 		core: sched.New(config.Sched), links: make(map[string]*link), lineages: make(map[string]*lineage),
 		listed: make(map[string]cairnbay.WorkerEntry), pending: make(map[string]*submission), recordsStored: make(chan struct{}),
-		inherited: make(map[string]struct{}), replaced: make(map[string]cairnbay.AgentTarget), pacer: newPacer(), meters: newMeters(config.Metrics, config.Claim.Shard),
+		inherited: make(map[string]struct{}), refusals: make(map[string]struct{}), replaced: make(map[string]cairnbay.AgentTarget), pacer: newPacer(), meters: newMeters(config.Metrics, config.Claim.Shard),
 	}
 	d.writer = record.New(record.Config{
 		Store: config.Store, Commit: config.Store.Commit, Shard: config.Claim.Shard,
--- a/internal/process/drive/lineage.go
+++ b/internal/process/drive/lineage.go
@@ -77,16 +77,34 @@
 	return false
 }
 
-// handleFencedCall stops this owner after a worker has refused a call with the token,
-// unless it refused what was meant for a former run. It returns false if it did.
-func (d *Drive) handleFencedCall(l *link, token uint64) (current bool) {
+// minRefusals is the number of restartable workers that must refuse the token of this
+// owner for a newer one to be assumed. A single one may have been called by the owner of
+// another class, for which it works now or has worked.
+const minRefusals = 2
+
+// handleFencedCall handles the refusal of a call with the token. It stops this owner and
+// returns true if there is a newer one.
+func (d *Drive) handleFencedCall(l *link, token uint64) (fenced bool) {
 	d.mu.Lock()
-	current = !l.superseded && !l.dropped && token == l.lineage.token
+	restartable := cairnbay.WorkerName(l.entry.ID) != l.entry.ID
+	switch {
+	case l.superseded || l.dropped || token < l.lineage.token:
+		// The worker refused what was meant for a former run.
+	case l.unlisted:
+		d.drop(l, "unlisted")
+	case restartable:
+		// A newer owner of this shard has a higher token than any that this one can get.
+		l.lineage.raise = true
+		d.refusals[l.entry.ID] = struct{}{}
+		fenced = len(d.refusals) >= min(minRefusals, len(d.links))
+	default:
+		fenced = true
+	}
 	d.mu.Unlock()
-	if current {
+	if fenced {
 		d.handleFenced(l.entry.ID)
 	}
-	return current
+	return fenced
 }
 
 // supersede stops the calls to the current run, since another one is known. The tasks of
@@ -103,6 +121,7 @@
 	// A run that has never answered has had no orders from this owner.
 	g.raise = g.raise || former.answeredAt > 0
 	delete(d.links, former.entry.ID)
+	delete(d.refusals, former.entry.ID)
 	d.core.SetReachable(d.now(), former.entry.ID, false)
 }
 
--- a/internal/process/drive/link.go
+++ b/internal/process/drive/link.go
@@ -19,6 +19,8 @@
 	// superseded says that another run of the worker is known, and that this one is not
 	// called any more; renewing says that the loop of renewals has not ended yet.
 	superseded, renewing bool
+	// openedAt is the boot time at which the link was opened.
+	openedAt time.Duration
 	// unlisted says that the run is known from an answer only, and that entry is that of
 	// the former one.
 	unlisted bool
@@ -101,7 +103,7 @@
 // openLink starts to renew the lease of a worker, in place of a former run of it; the
 // caller holds the lock.
 func (d *Drive) openLink(entry cairnbay.WorkerEntry, journaled bool) *link {
-	added := &link{entry: entry, lineage: d.lineage(entry.ID), journaled: journaled, draining: entry.Draining, renewing: true}
+	added := &link{entry: entry, lineage: d.lineage(entry.ID), journaled: journaled, draining: entry.Draining, renewing: true, openedAt: d.config.BootTime()}
 	d.supersede(added.lineage)
 	added.lineage.current, d.links[entry.ID] = added, added
 	if !journaled {
@@ -227,12 +229,12 @@
 // handleRenewFailure handles a failed renewal. It returns the pause before the
 // next one; false to make no more.
 func (d *Drive) handleRenewFailure(l *link, token uint64, err error) (time.Duration, bool) {
-	if errors.Is(err, cairnbay.ErrFenced) {
-		return 0, !d.handleFencedCall(l, token)
+	if errors.Is(err, cairnbay.ErrFenced) && d.handleFencedCall(l, token) {
+		return 0, false
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if l.superseded {
+	if l.superseded || l.dropped {
 		return 0, true
 	}
 	now := d.config.BootTime()
@@ -282,6 +284,7 @@
 func (d *Drive) drop(l *link, reason string) {
 	l.dropped = true
 	delete(d.links, l.entry.ID)
+	delete(d.refusals, l.entry.ID)
 	d.handleWorkerLoss(l.entry.ID, reason, l.lossCause())
 	d.journalRelease(l)
 	d.dropLineage(l)
@@ -332,6 +335,13 @@
 	if !unjournaled {
 		d.core.SetReachable(d.now(), l.entry.ID, true)
 	}
+	if l.unlisted && len(state.Running) == 0 && now.BootTime-l.openedAt > unlistedTimeout {
+		// It belongs to another class, or shard, now.
+		d.drop(l, "unlisted")
+		d.mu.Unlock()
+		return 0
+	}
+	delete(d.refusals, l.entry.ID)
 	ended, released := d.endFormer(l, state)
 	result := d.core.HandleHold(now, l.entry.ID, sent, state)
 	d.logGivenUp()
@@ -355,6 +365,18 @@
 	return d.acknowledge(l, records, result)
 }
 
+// handleJournaled lets a worker take tasks once the journal lists it as used, or releases
+// one that is gone by then; the caller holds the lock.
+func (d *Drive) handleJournaled(l *link) {
+	switch {
+	case l.dropped:
+		d.journalRelease(l)
+	case !l.superseded:
+		d.core.SetReachable(d.now(), l.entry.ID, true)
+		d.requestPlan()
+	}
+}
+
 func (l *link) lastAcked(d *Drive) uint64 {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -377,8 +399,7 @@
 		d.mu.Lock()
 		if !l.journaled {
 			l.journaled = true
-			d.core.SetReachable(d.now(), l.entry.ID, true)
-			d.requestPlan()
+			d.handleJournaled(l)
 		}
 		ends.stored = true
 		l.endsStored()
--- a/internal/process/drive/restart_test.go
+++ b/internal/process/drive/restart_test.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"fmt"
+	"math"
 	"net"
 	"net/http/httptest"
 	"slices"
@@ -261,6 +262,19 @@
 		}),
 	)
 
+	It("does not end its owner if it is of another class now", func() {
+		c := newRestartCluster()
+		c.accept(c.owner, "before")
+		c.fleet.Restart("w0", 0, restartSize)
+		c.hold("w0", math.MaxInt64)
+		c.listElsewhere("w0")
+		for i := range restartJobs {
+			c.accept(c.owner, fmt.Sprint("after", i))
+			Eventually(jobState(c.owner, fmt.Sprint("after", i)), "10s").Should(Equal(cairnbay.WorkflowCompleted))
+		}
+		Expect(c.fleet.Broken()).To(BeEmpty())
+	})
+
 	It("acknowledges no ends to a run that has not answered yet", func() {
 		c := newRestartCluster()
 		calls := &holdAgent{Agent: c.agent}
@@ -298,6 +312,22 @@
 		Expect(c.fleet.Broken()).To(BeEmpty())
 	})
 
+	It("is used though the owner of its former class has called it", func() {
+		c := newRestartCluster()
+		c.accept(c.owner, "before")
+		revision, err := c.store.Put(context.Background(), "other", nil, 0, 0)
+		Expect(err).NotTo(HaveOccurred())
+		c.mu.Lock()
+		c.fleet.Add("w9", restartSize)
+		c.hold("w9", uint64(revision))
+		c.mu.Unlock()
+		Eventually(func() []cairnbay.WorkflowTask {
+			submit(c.owner, job(fmt.Sprint("after", timer.Boot().Nanoseconds()), 3), time.Second)
+			return c.fleet.Running("w9")
+		}, "10s", "20ms").ShouldNot(BeEmpty())
+		Expect(c.fleet.Broken()).To(BeEmpty())
+	})
+
 	It("counts as crashed under a task that crashes its workers", func() {
 		c := newRestartCluster()
 		c.accept(c.owner, deadlyJob)
