--- a/internal/fake/agent/agent.go
+++ b/internal/fake/agent/agent.go
@@ -159,11 +159,11 @@
 
 var _ cairnbay.Agent = (*Fleet)(nil)
 
-// Add adds a worker.
-func (f *Fleet) Add(id string, capacity cairnbay.Resources) {
+// Add adds a worker and returns its first life.
+func (f *Fleet) Add(name string, capacity cairnbay.Resources) Life {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.add(id, capacity)
+	return f.describe(f.add(name, capacity))
 }
 
 // add adds the first life of a worker; the caller holds the lock.
--- a/internal/fake/agent/crash.go
+++ b/internal/fake/agent/crash.go
@@ -41,19 +41,23 @@
 	defer f.mu.Unlock()
 	f.settle()
 	var lives []Life
-	for id, w := range f.workers {
+	for _, w := range f.workers {
 		if !w.gone && !w.down {
-			listed := Life{ID: id, Address: w.address, Capacity: w.capacity}
-			if f.config.Incarnations {
-				listed.BornUnixMS = bornUnixMS(w.life)
-			}
-			lives = append(lives, listed)
+			lives = append(lives, f.describe(w))
 		}
 	}
 	slices.SortFunc(lives, func(a, b Life) int { return strings.Compare(a.ID, b.ID) })
 	return lives
 }
 
+func (f *Fleet) describe(w *worker) Life {
+	life := Life{ID: w.id, Address: w.address, Capacity: w.capacity}
+	if f.config.Incarnations {
+		life.BornUnixMS = bornUnixMS(w.life)
+	}
+	return life
+}
+
 // CrashFor crashes a worker for the plan's downtime.
 func (f *Fleet) CrashFor(id string) {
 	f.set(id, func(w *worker) { f.crash(w, f.config.Now()) })
--- a/internal/tool/soak/faults.go
+++ b/internal/tool/soak/faults.go
@@ -125,6 +125,10 @@
 func workerCrash(_ context.Context, w *world, random *rand.Rand, _ time.Duration) string {
 	i := random.IntN(len(w.toWorker))
 	gone := w.worker(i)
+	if w.config.KeepNames {
+		w.fleet.Restart(gone, restartDowntime, workerSize)
+		return "restart " + gone
+	}
 	w.fleet.Crash(gone)
 	w.store.Drop(platform.WorkerPrefix + gone)
 	w.addLife(i)
--- a/internal/tool/soak/soak.go
+++ b/internal/tool/soak/soak.go
@@ -25,6 +25,8 @@
 	Workers   int
 	// Shards is the number of shards of the workers' class, at least 1.
 	Shards int
+	// KeepNames says that a worker that crashes is back under its name.
+	KeepNames bool
 	// FirstPort is the first port of the first instance.
 	FirstPort int
 	// Program is the path of the program under test.
@@ -59,6 +61,7 @@
 			flags.IntVar(&config.Instances, "instances", config.Instances, "instances to start")
 			flags.IntVar(&config.Workers, "workers", config.Workers, "workers to stand in for")
 			flags.IntVar(&config.Shards, "shards", config.Shards, "shards of the workers' class; the workers stand in racks of two")
+			flags.BoolVar(&config.KeepNames, "keep-names", config.KeepNames, "bring workers that crash back under their names")
 			flags.IntVar(&config.FirstPort, "port", config.FirstPort, "first `port` of the instances, on loopback")
 			flags.StringVar(&config.Folder, "folder", "", "`folder` for settings and logs (default: a new one, removed after a run that held)")
 			return func(ctx context.Context, arguments []string) error {
--- a/internal/tool/soak/world.go
+++ b/internal/tool/soak/world.go
@@ -44,7 +44,11 @@
 	// looked for.
 	crashAfter    = 10 * time.Millisecond
 	crashDowntime = time.Second
-	livesPeriod   = 100 * time.Millisecond
+	// restartDowntime is how long a worker is away that restarts under its name.
+	restartDowntime = 200 * time.Millisecond
+	livesPeriod     = 100 * time.Millisecond
+	// maxWorkerLease is the longest lease of a worker; the settings say so too.
+	maxWorkerLease = 10 * time.Second
 	// shrinkGrace is how long an owner may take to learn of a worker that has shrunk,
 	// also while the store is away.
 	shrinkGrace = 8 * time.Second
@@ -100,7 +104,7 @@
 		Crash: agent.CrashPlan{
 			Deadly: w.isDeadly, After: func() time.Duration { return crashAfter }, Downtime: crashDowntime,
 		},
-		ShrinkGrace: shrinkGrace,
+		ShrinkGrace: shrinkGrace, Incarnations: config.KeepNames, MaxLease: maxWorkerLease,
 	})
 	storeAddress, err := w.serve(stand.Store(w.store))
 	if err != nil {
@@ -161,9 +165,11 @@
 		w.mu.Lock()
 		for worker, id := range w.workers {
 			if id != life.ID && w.firstLives[worker] == life.Address {
-				w.store.Drop(platform.WorkerPrefix + id)
+				if cairnbay.WorkerName(id) != cairnbay.WorkerName(life.ID) {
+					w.store.Drop(platform.WorkerPrefix + id)
+				}
 				w.workers[worker] = life.ID
-				w.putEntry(worker, life.Capacity)
+				w.putEntry(worker, life)
 			}
 		}
 		w.mu.Unlock()
@@ -182,12 +188,17 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.fleet.Resize(w.workers[index], capacity)
-	w.putEntry(index, capacity)
+	for _, life := range w.fleet.Lives() {
+		if life.ID == w.workers[index] {
+			w.putEntry(index, life)
+		}
+	}
 }
 
 // putEntry writes the entry of a worker; the caller holds the lock.
-func (w *world) putEntry(worker int, capacity cairnbay.Resources) {
-	w.put(platform.WorkerPrefix+w.workers[worker], stand.Entry(class, w.toWorker[worker].Address(), rackName(worker), capacity, 0))
+func (w *world) putEntry(worker int, life agent.Life) {
+	w.put(platform.WorkerPrefix+cairnbay.WorkerName(life.ID),
+		stand.Entry(class, w.toWorker[worker].Address(), rackName(worker), life.Capacity, life.BornUnixMS))
 }
 
 // gangSize is the number of members of a job's gangs, 0 for a job without them.
@@ -263,10 +274,10 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.lives++
-	id := fmt.Sprintf("w%d-%d", worker, w.lives)
-	w.fleet.Add(id, workerSize)
-	w.workers[worker], w.firstLives[worker] = id, id
-	w.putEntry(worker, workerSize)
+	name := fmt.Sprintf("w%d-%d", worker, w.lives)
+	life := w.fleet.Add(name, workerSize)
+	w.workers[worker], w.firstLives[worker] = life.ID, name
+	w.putEntry(worker, life)
 }
 
 // run starts an instance's process.
