drive: review of restarted workers: a race, a run dropped too early, foreign clocks

Such a run, opened long after the claim, was dropped after its first failed renewal, and its predecessor counted as lost before the new run refuses what is still on its way: it has the usual time now. The clock in an answer to an order may be that of another run: one that goes back is left alone. A worker that does not tell its start refuses a token as before.

--- a/internal/process/drive/compact.go
+++ b/internal/process/drive/compact.go
@@ -1,11 +1,12 @@
 package drive
 
 import (
-	"github.com/sirupsen/logrus"
-	"google.golang.org/protobuf/proto"
 	"maps"
 	"slices"
 
+	"github.com/sirupsen/logrus"
+	"google.golang.org/protobuf/proto"
+
 	"cairnbay"
 	cairnbayv1 "cairnbay/gen/cairnbay/v1"
 )
--- a/internal/process/drive/drive.go
+++ b/internal/process/drive/drive.go
@@ -346,7 +346,7 @@
 		}
 		link.draining = entry.Draining
 		if link.unlisted {
-			link.entry, link.unlisted = entry, false
+			link.handleListed(entry)
 		}
 		if !link.dropped {
 			d.core.SetWorker(entry)
--- a/internal/process/drive/lineage.go
+++ b/internal/process/drive/lineage.go
@@ -58,6 +58,11 @@
 	return d.lineages[name]
 }
 
+// restartable says whether another run of the worker may follow under its name.
+func (l *link) restartable() bool {
+	return cairnbay.WorkerName(l.entry.ID) != l.entry.ID
+}
+
 // raiseToken raises the token of a lineage if it must rise, and returns false while it
 // cannot. Tokens must lie below that of the next owner; the revisions of this owner's
 // journal writes do, and belong to no other owner. The caller holds the lock.
@@ -86,19 +91,18 @@
 // returns true if there is a newer one.
 func (d *Drive) handleFencedCall(l *link, token uint64) (fenced bool) {
 	d.mu.Lock()
-	restartable := cairnbay.WorkerName(l.entry.ID) != l.entry.ID
 	switch {
+	case !l.restartable():
+		fenced = true
 	case l.superseded || l.dropped || token < l.lineage.token:
 		// The worker refused what was meant for a former run.
 	case l.unlisted:
 		d.drop(l, "unlisted")
-	case restartable:
+	default:
 		// A newer owner of this shard has a higher token than any that this one can get.
 		l.lineage.raise = true
 		d.refusals[l.entry.ID] = struct{}{}
 		fenced = len(d.refusals) >= min(minRefusals, len(d.links))
-	default:
-		fenced = true
 	}
 	d.mu.Unlock()
 	if fenced {
@@ -143,6 +147,14 @@
 	d.openLink(entry, false).unlisted = true
 }
 
+// handleListed handles the first entry of a run that was known from an answer only. The ID
+// stays; it is read without the lock.
+func (l *link) handleListed(entry cairnbay.WorkerEntry) {
+	l.unlisted = false
+	l.entry.Class, l.entry.Address, l.entry.DataCentre = entry.Class, entry.Address, entry.DataCentre
+	l.entry.Rack, l.entry.Labels, l.entry.Capacity = entry.Rack, entry.Labels, entry.Capacity
+}
+
 // reinstate makes a former run the current one again; the caller holds the lock.
 func (d *Drive) reinstate(g *lineage, index int) {
 	l := g.former[index]
--- a/internal/process/drive/link.go
+++ b/internal/process/drive/link.go
@@ -152,9 +152,10 @@
 
 // updateClock stores the worker's clock from an answer, by which the worker also
 // accepted the token. sent and now are the boot times of the call and of the
-// answer. A clock of 0 changes nothing.
+// answer. A clock of 0 changes nothing, nor does one that has gone back: it is that of
+// another run, which an answer to an order does not tell apart.
 func (l *link) updateClock(clock, sent, now time.Duration) {
-	if clock <= 0 {
+	if clock <= 0 || l.restartable() && clock < l.clock {
 		return
 	}
 	l.clock, l.answeredAt = clock, now
@@ -263,7 +264,11 @@
 		return 0, false
 	}
 	_, inherited := d.inherited[l.entry.ID]
-	if !listed && !inherited && (l.lapsed || l.answeredAt == 0) && now-max(l.answeredAt, d.config.Claim.ClaimedAt) > unlistedTimeout {
+	since := max(l.answeredAt, d.config.Claim.ClaimedAt)
+	if l.unlisted {
+		since = max(since, l.openedAt)
+	}
+	if !listed && !inherited && (l.lapsed || l.answeredAt == 0) && now-since > unlistedTimeout {
 		d.drop(l, "unlisted")
 		return 0, false
 	}
@@ -348,12 +353,12 @@
 	for _, id := range append(ended, l.entry.ID) {
 		d.resolveInherited(id)
 	}
-	d.mu.Unlock()
-	d.logEnds(l, result)
 	records := encodeRecords(result.Records)
 	if unjournaled {
 		records = append(records, &cairnbayv1.WorkRecord{Worker: encodeWorker(l.entry)})
 	}
+	d.mu.Unlock()
+	d.logEnds(l, result)
 	// The next owner must know of the current run before it forgets the former ones.
 	records = append(records, released...)
 	if len(result.Ends) > 0 || unjournaled {
