--- a/internal/process/sched/crash_test.go
+++ b/internal/process/sched/crash_test.go
@@ -303,3 +303,24 @@
 		Expect(last.startsOn("c")).To(BeFalse())
 	})
 })
+
+var _ = Describe("a worker that restarts under its name", func() {
+	It("loses only what its new run does not list, and only that is blamed for the crash", func() {
+		now := sched.Moment{BootTime: time.Second, UnixMS: 1000}
+		core := sched.New(config)
+		core.SetWorker(cairnbay.WorkerEntry{ID: "w@1", Capacity: cores(4, 4000)})
+		core.HandleHold(now, "w@1", now.BootTime, cairnbay.AgentState{})
+		core.Accept(now, singleStep("j", quotes, 2, cores(1, 100), time.Second), false)
+		for _, action := range core.Plan(now) {
+			core.HandleStart(now, action.Start, nil)
+		}
+		// The new run has carried out the start of the first task.
+		state := cairnbay.AgentState{Running: []cairnbay.AgentTask{{Task: task("j", 0), Attempt: 1}}}
+		core.SetWorker(cairnbay.WorkerEntry{ID: "w@2", Capacity: cores(4, 4000)})
+		loss := core.HandleRestart(now, "w@1", sched.LossCrashed, state)
+		Expect(loss.Lost).To(ConsistOf(HaveField("Task", task("j", 1))))
+		Expect(loss.Records).To(ConsistOf(HaveField("Task", task("j", 1))))
+		core.HandleHold(now, "w@2", now.BootTime, state)
+		Expect(core.Counts().Running).To(Equal(1))
+	})
+})
