--- a/internal/process/drive/crash_test.go
+++ b/internal/process/drive/crash_test.go
@@ -29,26 +29,44 @@
 
 var deadlyTask = cairnbay.WorkflowTask{Job: deadlyJob, Index: 2}
 
-// crashCluster is a cluster whose workers crash under a task and come back.
-type crashCluster struct {
+// ownedCluster is a cluster whose owner is replaced while other goroutines call it.
+type ownedCluster struct {
 	*cluster
 	mu    sync.Mutex
 	owner *drive.Drive
 }
 
+func (c *ownedCluster) replaceOwner() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.owner != nil {
+		c.owner.Close()
+	}
+	c.owner = c.startOwner()
+	DeferCleanup(c.owner.Close)
+}
+
+// crashPlan crashes workers under deadlyTask.
+var crashPlan = agent.CrashPlan{
+	Deadly:   func(task cairnbay.WorkflowTask) bool { return task == deadlyTask },
+	After:    func() time.Duration { return 10 * time.Millisecond },
+	Downtime: crashDowntime,
+}
+
+// crashCluster is a cluster whose workers crash under a task and come back.
+type crashCluster struct {
+	ownedCluster
+}
+
 func newCrashCluster() *crashCluster {
-	c := &crashCluster{cluster: newCluster(0)}
+	c := &crashCluster{ownedCluster{cluster: newCluster(0)}}
 	c.fleet = agent.New(agent.Config{
 		Now:     timer.Boot,
 		RunTime: func(cairnbay.WorkflowTask) time.Duration { return time.Duration(c.runTime.Load()) },
 		Size: func(cairnbay.WorkflowTask) cairnbay.Resources {
 			return cairnbay.Resources{MilliCPU: 1000, MemoryMB: 100}
 		},
-		Crash: agent.CrashPlan{
-			Deadly:   func(task cairnbay.WorkflowTask) bool { return task == deadlyTask },
-			After:    func() time.Duration { return 10 * time.Millisecond },
-			Downtime: crashDowntime,
-		},
+		Crash: crashPlan,
 	})
 	for i := range 4 {
 		c.fleet.Add(fmt.Sprint("w", i), cairnbay.Resources{MilliCPU: 4000, MemoryMB: 400})
@@ -72,16 +90,6 @@
 	}
 }
 
-func (c *crashCluster) replaceOwner() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.owner != nil {
-		c.owner.Close()
-	}
-	c.owner = c.startOwner()
-	DeferCleanup(c.owner.Close)
-}
-
 func (c *crashCluster) crashes() int { return c.fleet.CrashCount(deadlyTask) }
 
 var _ = Describe("a task that crashes the workers that start it", func() {
--- a/internal/process/drive/restart_test.go
+++ b/internal/process/drive/restart_test.go
@@ -17,7 +17,6 @@
 
 	"cairnbay"
 	"cairnbay/internal/fake/agent"
-	"cairnbay/internal/process/drive"
 	"cairnbay/internal/process/timer"
 	"cairnbay/platform"
 	"cairnbay/platform/stand"
@@ -38,11 +37,8 @@
 // restartCluster is a cluster whose workers restart under their old names, called as
 // the platform's workers are.
 type restartCluster struct {
-	*cluster
+	ownedCluster
 	names []string
-
-	mu    sync.Mutex
-	owner *drive.Drive
 	// listedBorn changes the starts of processes that the list tells, by the worker's
 	// name; listedElsewhere are the workers that the list says to be of another class.
 	listedBorn      map[string]int64
@@ -50,7 +46,7 @@
 }
 
 func newRestartCluster() *restartCluster {
-	c := &restartCluster{cluster: newCluster(0), names: []string{"w0", "w1", "w2", "w3"}}
+	c := &restartCluster{ownedCluster: ownedCluster{cluster: newCluster(0)}, names: []string{"w0", "w1", "w2", "w3"}}
 	c.listedBorn, c.listedElsewhere = make(map[string]int64), make(map[string]bool)
 	c.fleet = agent.New(agent.Config{
 		Now:     timer.Boot,
@@ -58,11 +54,7 @@
 		Size: func(cairnbay.WorkflowTask) cairnbay.Resources {
 			return cairnbay.Resources{MilliCPU: 1000, MemoryMB: 100}
 		},
-		Crash: agent.CrashPlan{
-			Deadly:   func(task cairnbay.WorkflowTask) bool { return task == deadlyTask },
-			After:    func() time.Duration { return 10 * time.Millisecond },
-			Downtime: crashDowntime,
-		},
+		Crash:        crashPlan,
 		Incarnations: true, MaxLease: maxWorkerLease, ShrinkGrace: lease,
 	})
 	for _, name := range c.names {
@@ -121,16 +113,6 @@
 	Expect(err).NotTo(HaveOccurred())
 }
 
-func (c *restartCluster) replaceOwner() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.owner != nil {
-		c.owner.Close()
-	}
-	c.owner = c.startOwner()
-	DeferCleanup(c.owner.Close)
-}
-
 // restart restarts one worker after the other.
 func (c *restartCluster) restart(downtime time.Duration, names ...string) {
 	for _, name := range names {
