drive: workers that do not tell their start are acknowledged as before

Cause: a renewal after one without an answer acknowledged nothing, for all workers, so that an owner under load was sent all ends again. Change: only workers that may restart under their name are treated so; the records of ends are encoded without the lock again.

--- a/internal/process/drive/link.go
+++ b/internal/process/drive/link.go
@@ -198,7 +198,7 @@
 	order := cairnbay.AgentHold{Token: l.lineage.token, Wait: renewWait}
 	// A renewal after one without an answer may reach another run, which numbers its ends
 	// anew and must not drop any of them.
-	if l.listsEnds && l.failures == 0 {
+	if !l.restartable() || l.listsEnds && l.failures == 0 {
 		order.Acked = l.acked
 	}
 	// A renewal without an answer may have extended the lease. Renewals of a
@@ -353,12 +353,13 @@
 	for _, id := range append(ended, l.entry.ID) {
 		d.resolveInherited(id)
 	}
-	records := encodeRecords(result.Records)
+	var used []*cairnbayv1.WorkRecord
 	if unjournaled {
-		records = append(records, &cairnbayv1.WorkRecord{Worker: encodeWorker(l.entry)})
+		used = append(used, &cairnbayv1.WorkRecord{Worker: encodeWorker(l.entry)})
 	}
 	d.mu.Unlock()
 	d.logEnds(l, result)
+	records := append(encodeRecords(result.Records), used...)
 	// The next owner must know of the current run before it forgets the former ones.
 	records = append(records, released...)
 	if len(result.Ends) > 0 || unjournaled {
