drive: test that workers without a start are acknowledged during a silence

Guards the regression that mended: with its condition taken out, the spec fails 1 of 1 (no sequence acknowledged within 5 s); with it, it passes.

--- a/internal/process/drive/restart_test.go
+++ b/internal/process/drive/restart_test.go
@@ -273,6 +273,21 @@
 		Expect(calls.acked.Load()).To(BeZero())
 	})
 
+	It("is told apart from one without a start, which is acknowledged during a silence too", func() {
+		c := &ownedCluster{cluster: newCluster(2)}
+		calls := &holdAgent{Agent: c.fleet}
+		c.agent = calls
+		c.replaceOwner()
+		c.accept(c.owner, "before")
+		Eventually(jobState(c.owner, "before"), "10s").Should(Equal(cairnbay.WorkflowCompleted))
+		for _, name := range c.workers {
+			c.fleet.Mute(name, true)
+		}
+		time.Sleep(renewals)
+		calls.acked.Store(0)
+		Eventually(calls.acked.Load, "5s", "10ms").ShouldNot(BeZero())
+	})
+
 	It("counts as running for the lease that a renewal for its former run has given it", func() {
 		c := newRestartCluster()
 		c.runTime.Store(int64(2 * maxWorkerLease))
