sched: try suspects of crashes on what is free of a class

Reservations, tickets and workers away for other reasons did not hold trials back. Change: beyond the sixth, trials begin on as many workers as are free once all other tasks are running that wait or were on a worker that is away.

The new spec failed 2 of 2 entries before.

--- a/internal/process/sched/crash_test.go
+++ b/internal/process/sched/crash_test.go
@@ -131,6 +131,38 @@
 	})
 })
 
+var _ = Describe("tasks that crash the workers that start them, one a job", func() {
+	const (
+		// round is how long a trial takes until the loss of its worker is known.
+		round = crashDowntime + time.Second
+		// firstRounds pass until each task has crashed a worker alone or is known to share
+		// the blame.
+		firstRounds = 6
+	)
+	DescribeTable("do not wait for each other while workers are free", func(workers, suspects int) {
+		const busy = 0.51
+		sim := newSimulation(config)
+		for i := range workers {
+			sim.addWorker(fmt.Sprint("w", i), cores(16, 64000))
+		}
+		sim.deadly = everyNth(1)
+		sim.submit(singleStep("other", quotes, workers, cores(16*busy, 100), time.Hour), false, time.Hour)
+		sim.advance(time.Second)
+		for i := range suspects {
+			sim.submit(singleStep(nthID(models, i), models, 1, cores(1, 100), time.Second), false, time.Second)
+		}
+		rounds := firstRounds + float64(suspects)/(float64(workers)*(1-busy))
+		sim.advance(time.Duration(rounds * float64(round)).Truncate(holdInterval))
+		for i := range suspects {
+			Expect(sim.core.State(nthID(models, i))).To(Equal(cairnbay.WorkflowFailed), nthID(models, i))
+		}
+		Expect(sim.fleet.Broken()).To(BeEmpty())
+	},
+		Entry("fewer suspects than workers", 96, 80),
+		Entry("more suspects than workers", 48, 80),
+	)
+})
+
 // crashAtRandom crashes a random worker now and then, whatever it runs.
 func (sim *simulation) crashAtRandom(seed uint64) {
 	random := rand.New(rand.NewPCG(seed, seed))
--- a/internal/process/sched/plan.go
+++ b/internal/process/sched/plan.go
@@ -148,7 +148,7 @@
 	reservations := make(gangReservations)
 	maps.DeleteFunc(c.queueRisks, func(_ string, queue *queueRisk) bool { return queue.until <= now.BootTime })
 	c.startsHeld = false
-	c.maxTrials = 0
+	c.maxTrials = trialBounds{}
 	for _, entry := range ranked {
 		if c.startLimit <= 0 {
 			c.startsHeld = true
--- a/internal/process/sched/sched.go
+++ b/internal/process/sched/sched.go
@@ -74,9 +74,10 @@
 	queueRisks map[string]*queueRisk
 	// givenUp are the jobs given up since the last TakeGivenUp.
 	givenUp []GivenUp
-	// trials is the sum of the weights of the attempts on trial, and maxTrials its bound
-	// in this plan, in thousandths; 0 until a suspect waits.
-	trials, maxTrials int
+	// trials is the sum of the weights of the attempts on trial, in thousandths.
+	trials int
+	// maxTrials are the bounds of trials in this plan, not set until a suspect waits.
+	maxTrials trialBounds
 }
 
 // defaultCallLimit bounds the calls of each kind to the policy service until
--- a/internal/process/sched/trial.go
+++ b/internal/process/sched/trial.go
@@ -9,12 +9,9 @@
 
 const (
 	// trialShare bounds the crashes expected of the trials under way, and the workers
-	// away because of one: one worker in trialShare, and at least one.
+	// away because of one, in a class that is full: one worker in trialShare, and at least
+	// one.
 	trialShare = 6
-	// idleTrialShare is the same for the workers that the free capacity amounts to, while
-	// that is most of the capacity even if all other tasks that wait were running.
-	idleTrialShare = 2
-	minIdleShare   = 0.5
 	// trialReservationTime is how long a worker is reserved for a trial.
 	trialReservationTime = 1500 * time.Millisecond
 	// trialReservationMargin before the end of the reservation the trial starts beside
@@ -41,32 +38,50 @@
 	return max(int(oneCrash*share), 1)
 }
 
-// countMaxTrials returns the bound of the trials for a plan.
-func (c *Core) countMaxTrials() int {
+// trialBounds bounds the trials of a plan: the crashes expected of all under way, in
+// thousandths, or the workers of those that begin, all of which may crash.
+type trialBounds struct {
+	crashes, workers int
+}
+
+// countTrialBounds returns the bounds of the trials for a plan.
+func (c *Core) countTrialBounds() trialBounds {
 	var used, capacity cairnbay.Resources
-	usable := 0.0
-	for _, worker := range c.sortedWorkers {
-		if worker.usable() {
-			usable++
-			used, capacity = used.Add(worker.used), capacity.Add(worker.entry.Capacity)
+	usable, onTrial := 0, 0
+	for _, worker := range c.workers {
+		if !worker.usable() {
+			if worker.unreachable {
+				// What runs there will run elsewhere.
+				used = used.Add(worker.used)
+			}
+			continue
+		}
+		used = used.Add(worker.used)
+		usable++
+		capacity = capacity.Add(worker.entry.Capacity)
+		if worker.trials > 0 {
+			onTrial++
 		}
 	}
 	for stage := range c.readyStages {
 		used = used.Add(demand(stage.spec).Times(stage.waiting - c.waitingSuspects(stage)))
 	}
-	limit := max(oneCrash*len(c.workers)/trialShare, oneCrash)
-	if idle := 1 - used.DominantShare(capacity); idle > minIdleShare {
-		limit = max(limit, int(oneCrash*idle*usable/idleTrialShare))
-	}
-	return limit
+	// Crashes on what is free once all other tasks that wait are running delay none of
+	// them.
+	free := int((1 - used.DominantShare(capacity)) * float64(usable))
+	return trialBounds{crashes: max(oneCrash*len(c.workers)/trialShare, oneCrash), workers: free - onTrial}
 }
 
-// mayTry reports whether another trial is within the bounds.
-func (c *Core) mayTry(weight int) bool {
-	if c.maxTrials == 0 {
-		c.maxTrials = c.countMaxTrials()
+// mayTry reports whether the trial of a task, or of its gang, is within the bounds.
+func (c *Core) mayTry(stage *stage, task *task) bool {
+	if c.maxTrials.crashes == 0 {
+		c.maxTrials = c.countTrialBounds()
+	}
+	workers := 1
+	if stage.spec.Gang {
+		workers = len(stage.tasks)
 	}
-	return c.trials+weight <= c.maxTrials
+	return c.trials+c.trialWeight(stage, task) <= c.maxTrials.crashes || workers <= c.maxTrials.workers
 }
 
 // beginTrial marks an attempt of a task under which workers have crashed. Until it has
@@ -74,6 +89,9 @@
 // cause, and would harm few others.
 func (c *Core) beginTrial(a *attempt) {
 	a.trialWeight = c.trialWeight(a.stage, a.task)
+	if a.worker.trials == 0 {
+		c.maxTrials.workers--
+	}
 	a.worker.trials++
 	c.trials += a.trialWeight
 }
@@ -130,7 +148,7 @@
 		return false
 	}
 	return !slices.ContainsFunc(stage.tasks, func(one task) bool {
-		return c.isWaitingSuspect(stage, &one) && c.mayTry(c.trialWeight(stage, &one))
+		return c.isWaitingSuspect(stage, &one) && c.mayTry(stage, &one)
 	})
 }
 
@@ -148,7 +166,7 @@
 // has no other tasks, it reserves the one on which a crash harms the fewest, and waits
 // until the attempts that end soon are gone and all others have proven themselves.
 func (c *Core) chooseTrialWorker(now Moment, stage *stage, task *task, candidates []*worker) *worker {
-	if !c.mayTry(c.trialWeight(stage, task)) {
+	if !c.mayTry(stage, task) {
 		return nil
 	}
 	reserved := c.pendingPreemptions(now, stage) > 0
@@ -189,7 +207,7 @@
 // trialGroup leaves the quiet workers for a gang under which workers have crashed, none
 // while too many attempts are on trial.
 func (c *Core) trialGroup(stage *stage, candidates []*worker) []*worker {
-	if !c.mayTry(c.trialWeight(stage, &stage.tasks[0])) {
+	if !c.mayTry(stage, &stage.tasks[0]) {
 		return nil
 	}
 	return slices.DeleteFunc(slices.Clone(candidates), func(w *worker) bool { return !w.quiet() })
