--- a/internal/process/sched/bench_test.go
+++ b/internal/process/sched/bench_test.go
@@ -35,6 +35,25 @@
 	}
 }
 
+// BenchmarkPlanWithSuspects plans while tasks wait for their trial in a class that is full,
+// so that each is considered and none is tried.
+func BenchmarkPlanWithSuspects(b *testing.B) {
+	const workers, suspects = 800, 1000
+	core, now := newFullCore(workers, 0)
+	for n := range suspects {
+		id := fmt.Sprint("suspect", n)
+		core.Accept(now, singleStep(id, models, 1, cores(1, 100), time.Second), false)
+		core.Replay(now, sched.Record{
+			Kind: sched.RecordCrashed, Task: task(id, 0), Attempt: 1, Worker: fmt.Sprint("gone", n), Suspect: true, Started: true,
+		})
+	}
+	for b.Loop() {
+		now.BootTime += time.Millisecond
+		core.Tick()
+		core.Plan(now)
+	}
+}
+
 // newFullCore returns a core with full workers and jobs of ten waiting tasks
 // each.
 func newFullCore(workers, waiting int) (*sched.Core, sched.Moment) {
