Workspaces in the configuration: types, decoding, messages between instances

Cause: the operators' configuration of three deployments has tenants with API keys, weights and quotas, of which nothing is decoded. No decision changes yet. Result: go test ./platform ./internal/process/relay ./internal/request/gate passes.

--- a/gen/cairnbay/v1/cairnbayv1connect/work.connect.go
+++ b/gen/cairnbay/v1/cairnbayv1connect/work.connect.go
@@ -46,6 +46,10 @@
 	RelayAdviseProcedure = "/cairnbay.v1.Relay/Advise"
 	// RelayStoreProcedure is the fully-qualified name of the Relay's Store RPC.
 	RelayStoreProcedure = "/cairnbay.v1.Relay/Store"
+	// RelayPullConfigurationProcedure is the fully-qualified name of the Relay's PullConfiguration RPC.
+	RelayPullConfigurationProcedure = "/cairnbay.v1.Relay/PullConfiguration"
+	// RelayRequestQuotaProcedure is the fully-qualified name of the Relay's RequestQuota RPC.
+	RelayRequestQuotaProcedure = "/cairnbay.v1.Relay/RequestQuota"
 )
 
 // RelayClient is a client for the cairnbay.v1.Relay service.
@@ -56,6 +60,8 @@
 	Length(context.Context, *connect.Request[v1.LengthRequest]) (*connect.Response[v1.LengthResponse], error)
 	Advise(context.Context, *connect.Request[v1.AdviseRequest]) (*connect.Response[v1.AdviseResponse], error)
 	Store(context.Context, *connect.Request[v1.StoreCall]) (*connect.Response[v1.StoreAnswer], error)
+	PullConfiguration(context.Context, *connect.Request[v1.PullConfigurationRequest]) (*connect.Response[v1.PullConfigurationResponse], error)
+	RequestQuota(context.Context, *connect.Request[v1.RequestQuotaRequest]) (*connect.Response[v1.RequestQuotaResponse], error)
 }
 
 // NewRelayClient constructs a client for the cairnbay.v1.Relay service. By default, it uses the
@@ -105,17 +111,31 @@
 			connect.WithSchema(relayMethods.ByName("Store")),
 			connect.WithClientOptions(opts...),
 		),
+		pullConfiguration: connect.NewClient[v1.PullConfigurationRequest, v1.PullConfigurationResponse](
+			httpClient,
+			baseURL+RelayPullConfigurationProcedure,
+			connect.WithSchema(relayMethods.ByName("PullConfiguration")),
+			connect.WithClientOptions(opts...),
+		),
+		requestQuota: connect.NewClient[v1.RequestQuotaRequest, v1.RequestQuotaResponse](
+			httpClient,
+			baseURL+RelayRequestQuotaProcedure,
+			connect.WithSchema(relayMethods.ByName("RequestQuota")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // relayClient implements RelayClient.
 type relayClient struct {
-	submit  *connect.Client[v1.SubmitWorkflowRequest, v1.SubmitWorkflowResponse]
-	inspect *connect.Client[v1.InspectWorkflowRequest, v1.InspectWorkflowResponse]
-	cancel  *connect.Client[v1.CancelWorkflowRequest, v1.CancelWorkflowResponse]
-	length  *connect.Client[v1.LengthRequest, v1.LengthResponse]
-	advise  *connect.Client[v1.AdviseRequest, v1.AdviseResponse]
-	store   *connect.Client[v1.StoreCall, v1.StoreAnswer]
+	submit            *connect.Client[v1.SubmitWorkflowRequest, v1.SubmitWorkflowResponse]
+	inspect           *connect.Client[v1.InspectWorkflowRequest, v1.InspectWorkflowResponse]
+	cancel            *connect.Client[v1.CancelWorkflowRequest, v1.CancelWorkflowResponse]
+	length            *connect.Client[v1.LengthRequest, v1.LengthResponse]
+	advise            *connect.Client[v1.AdviseRequest, v1.AdviseResponse]
+	store             *connect.Client[v1.StoreCall, v1.StoreAnswer]
+	pullConfiguration *connect.Client[v1.PullConfigurationRequest, v1.PullConfigurationResponse]
+	requestQuota      *connect.Client[v1.RequestQuotaRequest, v1.RequestQuotaResponse]
 }
 
 // Submit calls cairnbay.v1.Relay.Submit.
@@ -148,6 +168,16 @@
 	return c.store.CallUnary(ctx, req)
 }
 
+// PullConfiguration calls cairnbay.v1.Relay.PullConfiguration.
+func (c *relayClient) PullConfiguration(ctx context.Context, req *connect.Request[v1.PullConfigurationRequest]) (*connect.Response[v1.PullConfigurationResponse], error) {
+	return c.pullConfiguration.CallUnary(ctx, req)
+}
+
+// RequestQuota calls cairnbay.v1.Relay.RequestQuota.
+func (c *relayClient) RequestQuota(ctx context.Context, req *connect.Request[v1.RequestQuotaRequest]) (*connect.Response[v1.RequestQuotaResponse], error) {
+	return c.requestQuota.CallUnary(ctx, req)
+}
+
 // RelayHandler is an implementation of the cairnbay.v1.Relay service.
 type RelayHandler interface {
 	Submit(context.Context, *connect.Request[v1.SubmitWorkflowRequest]) (*connect.Response[v1.SubmitWorkflowResponse], error)
@@ -156,6 +186,8 @@
 	Length(context.Context, *connect.Request[v1.LengthRequest]) (*connect.Response[v1.LengthResponse], error)
 	Advise(context.Context, *connect.Request[v1.AdviseRequest]) (*connect.Response[v1.AdviseResponse], error)
 	Store(context.Context, *connect.Request[v1.StoreCall]) (*connect.Response[v1.StoreAnswer], error)
+	PullConfiguration(context.Context, *connect.Request[v1.PullConfigurationRequest]) (*connect.Response[v1.PullConfigurationResponse], error)
+	RequestQuota(context.Context, *connect.Request[v1.RequestQuotaRequest]) (*connect.Response[v1.RequestQuotaResponse], error)
 }
 
 // NewRelayHandler builds an HTTP handler from the service implementation. It returns the path on
@@ -201,6 +233,18 @@
 		connect.WithSchema(relayMethods.ByName("Store")),
 		connect.WithHandlerOptions(opts...),
 	)
+	relayPullConfigurationHandler := connect.NewUnaryHandler(
+		RelayPullConfigurationProcedure,
+		svc.PullConfiguration,
+		connect.WithSchema(relayMethods.ByName("PullConfiguration")),
+		connect.WithHandlerOptions(opts...),
+	)
+	relayRequestQuotaHandler := connect.NewUnaryHandler(
+		RelayRequestQuotaProcedure,
+		svc.RequestQuota,
+		connect.WithSchema(relayMethods.ByName("RequestQuota")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/cairnbay.v1.Relay/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case RelaySubmitProcedure:
@@ -215,6 +259,10 @@
 			relayAdviseHandler.ServeHTTP(w, r)
 		case RelayStoreProcedure:
 			relayStoreHandler.ServeHTTP(w, r)
+		case RelayPullConfigurationProcedure:
+			relayPullConfigurationHandler.ServeHTTP(w, r)
+		case RelayRequestQuotaProcedure:
+			relayRequestQuotaHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -247,3 +295,11 @@
 func (UnimplementedRelayHandler) Store(context.Context, *connect.Request[v1.StoreCall]) (*connect.Response[v1.StoreAnswer], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("cairnbay.v1.Relay.Store is not implemented"))
 }
+
+func (UnimplementedRelayHandler) PullConfiguration(context.Context, *connect.Request[v1.PullConfigurationRequest]) (*connect.Response[v1.PullConfigurationResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("cairnbay.v1.Relay.PullConfiguration is not implemented"))
+}
+
+func (UnimplementedRelayHandler) RequestQuota(context.Context, *connect.Request[v1.RequestQuotaRequest]) (*connect.Response[v1.RequestQuotaResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("cairnbay.v1.Relay.RequestQuota is not implemented"))
+}
--- a/internal/process/drive/encode.go
+++ b/internal/process/drive/encode.go
@@ -16,6 +16,7 @@
 		Id: workflow.ID, Class: workflow.Class, Payload: workflow.Payload,
 		Occurrences: int32(workflow.Occurrences), FirstDueUnixMs: workflow.FirstDueUnixMS,
 		IntervalMs: workflow.IntervalMS, AcceptedUnixMs: workflow.AcceptedUnixMS,
+		Workspace: workflow.Workspace,
 		Queue: &cairnbayv1.QueueTerms{
 			Name: workflow.Queue.Name, Priority: int32(workflow.Queue.Priority),
 			MaxAttempts: int32(workflow.Queue.MaxAttempts), Stretch: workflow.Queue.Stretch,
@@ -54,6 +55,7 @@
 		ID: message.GetId(), Class: message.GetClass(), Payload: message.GetPayload(),
 		Occurrences: int(message.GetOccurrences()), FirstDueUnixMS: message.GetFirstDueUnixMs(),
 		IntervalMS: message.GetIntervalMs(), AcceptedUnixMS: message.GetAcceptedUnixMs(),
+		Workspace: message.GetWorkspace(),
 		Queue: cairnbay.Queue{
 			Name: terms.GetName(), Class: message.GetClass(), Priority: int(terms.GetPriority()),
 			MaxAttempts: int(terms.GetMaxAttempts()), Stretch: terms.GetStretch(),
--- a/internal/process/quota/ledger.go
+++ b/internal/process/quota/ledger.go
@@ -53,6 +53,11 @@
 	}
 }
 
+// SetQuota sets the quota of an account that no settings configure.
+func (l *Ledger) SetQuota(path string, quota cairnbay.Resources) {
+	l.Account(path).Quota = quota
+}
+
 // Account returns the account of a path and creates it if it does not exist. The
 // pointer stays valid as long as the ledger.
 func (l *Ledger) Account(path string) *Account {
--- a/internal/process/relay/relay.go
+++ b/internal/process/relay/relay.go
@@ -28,6 +28,12 @@
 	// Store makes a store call for an instance that cannot reach the store; nil
 	// rejects such calls.
 	Store func(ctx context.Context, call *cairnbayv1.StoreCall) *cairnbayv1.StoreAnswer
+	// Configuration returns the operators' configuration of this instance, with its value
+	// if it is newer than version; nil rejects such calls.
+	Configuration func(version uint64) *cairnbayv1.PullConfigurationResponse
+	// Quota moves parts of quotas from a shard that this instance owns; nil rejects such
+	// calls.
+	Quota func(ctx context.Context, request *cairnbayv1.RequestQuotaRequest) *cairnbayv1.RequestQuotaResponse
 }
 
 // Relay serves the calls of other instances and holds the clients to call them.
@@ -150,5 +156,25 @@
 	return connect.NewResponse(r.config.Store(ctx, request.Msg)), nil
 }
 
+// PullConfiguration implements the Relay service.
+func (r *Relay) PullConfiguration(
+	_ context.Context, request *connect.Request[cairnbayv1.PullConfigurationRequest],
+) (*connect.Response[cairnbayv1.PullConfigurationResponse], error) {
+	if r.config.Configuration == nil {
+		return nil, connect.NewError(connect.CodeUnimplemented, errors.New("the configuration is not served"))
+	}
+	return connect.NewResponse(r.config.Configuration(request.Msg.GetVersion())), nil
+}
+
+// RequestQuota implements the Relay service.
+func (r *Relay) RequestQuota(
+	ctx context.Context, request *connect.Request[cairnbayv1.RequestQuotaRequest],
+) (*connect.Response[cairnbayv1.RequestQuotaResponse], error) {
+	if r.config.Quota == nil {
+		return nil, connect.NewError(connect.CodeUnimplemented, errors.New("quotas are not divided"))
+	}
+	return connect.NewResponse(r.config.Quota(ctx, request.Msg)), nil
+}
+
 // ConnectTimeout bounds the dial of a connection to another instance.
 const ConnectTimeout = 400 * time.Millisecond
--- a/internal/process/sched/accept.go
+++ b/internal/process/sched/accept.go
@@ -13,7 +13,7 @@
 		return
 	}
 	accepted := &job{
-		workflow: workflow, inherited: inherited, acceptedAt: now.BootTime,
+		workflow: workflow, workspace: c.workspace(workflow.Workspace), inherited: inherited, acceptedAt: now.BootTime,
 		stages: make(map[stageKey]*stage),
 	}
 	age := time.Duration(now.UnixMS-workflow.AcceptedUnixMS) * time.Millisecond
--- a/internal/process/sched/job.go
+++ b/internal/process/sched/job.go
@@ -10,6 +10,8 @@
 // job is one accepted workflow.
 type job struct {
 	workflow cairnbay.Workflow
+	// workspace is nil for a job of a public queue.
+	workspace *workspace
 	// inherited is set for a job that a former owner accepted.
 	inherited  bool
 	acceptedAt time.Duration
--- a/internal/process/sched/sched.go
+++ b/internal/process/sched/sched.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"cairnbay"
+	"cairnbay/internal/process/quota"
 )
 
 // Moment is a point in time on the clocks that decisions depend on.
@@ -67,6 +68,10 @@
 	// plan left stages out because of it.
 	startLimit int
 	startsHeld bool
+	// workspaces are those of the configuration and of accepted jobs, by name, and ledger
+	// holds their accounts.
+	workspaces map[string]*workspace
+	ledger     *quota.Ledger
 	// crashes are those of workers that were silent, and may be cut off and answer
 	// again, and those read from the store, by worker ID.
 	crashes map[string]*crash
@@ -98,6 +103,8 @@
 		runTimeRatios: make(map[string]*runTimeRatio),
 		queueRisks:    make(map[string]*queueRisk),
 		crashes:       make(map[string]*crash),
+		workspaces:    make(map[string]*workspace),
+		ledger:        quota.New(),
 	}
 }
 
--- a/internal/process/sched/worker.go
+++ b/internal/process/sched/worker.go
@@ -153,6 +153,7 @@
 		return
 	}
 	a.stage.job.attempts++
+	a.stage.job.charge(a.size)
 	a.stage.liveAttempts++
 	a.stage.attemptsPerWorker[w.entry.ID]++
 	if a.stage.spec.TailTarget > 0 {
@@ -180,6 +181,7 @@
 		return
 	}
 	a.stage.job.attempts--
+	a.stage.job.charge(cairnbay.Resources{}.Sub(a.size))
 	a.stage.liveAttempts--
 	a.stage.attemptsPerWorker[w.entry.ID]--
 	if a.stage.spec.TailTarget > 0 {
--- a/workflow.go
+++ b/workflow.go
@@ -16,6 +16,9 @@
 	// time. Class is the class of the workers that run the job.
 	Queue Queue
 	Class string
+	// Workspace is the name of the workspace that submitted the job, empty for a job
+	// of a public queue. It does not change while the job exists.
+	Workspace string
 	// Payload is passed to every task without interpretation.
 	Payload string
 	Steps   []WorkflowStep
@@ -87,6 +90,8 @@
 	TargetLatency time.Duration
 	// Timeout limits the duration of a caller's request.
 	Timeout time.Duration
+	// Public means that callers need no API key.
+	Public bool
 	// Advice is set if a policy service selects the workers of each step.
 	Advice *AdviceTerms
 }
@@ -107,6 +112,10 @@
 	Queues  []Queue
 	// Classes lists the worker classes.
 	Classes []WorkerClass
+	// KeysRequired means that a request to a queue that is not public needs the key of
+	// one of the Workspaces.
+	KeysRequired bool
+	Workspaces   []Workspace
 }
 
 // WorkerClass is a pool of workers.
