drive: the spec of a worker's former class needs that worker

Cause: on arm64 the spec found nothing running on w9 in 3 of 26 runs. Trace of one failed run of 24 (race build, six at once): all five workers were usable, 12 tasks ran on the other four, which hold 16. Small jobs are packed on the first workers, so w9 is needed only if submissions come fast enough. No fault of the program; a slow x86-64 machine can show it too. Change: the spec waits until all workers are usable, then submits one job of 20 tasks, which needs every worker.

--- a/internal/process/drive/restart_test.go
+++ b/internal/process/drive/restart_test.go
@@ -16,6 +16,7 @@
 	. "github.com/onsi/gomega"
 
 	"cairnbay"
+	cairnbayv1 "cairnbay/gen/cairnbay/v1"
 	"cairnbay/internal/fake/agent"
 	"cairnbay/internal/process/timer"
 	"cairnbay/platform"
@@ -318,10 +319,12 @@
 		c.fleet.Add("w9", restartSize)
 		c.hold("w9", uint64(revision))
 		c.mu.Unlock()
-		Eventually(func() []cairnbay.WorkflowTask {
-			submit(c.owner, job(fmt.Sprint("after", timer.Boot().Nanoseconds()), 3), time.Second)
-			return c.fleet.Running("w9")
-		}, "10s", "20ms").ShouldNot(BeEmpty())
+		Eventually(func() int { return c.owner.Counts().Usable }, "10s", "20ms").Should(Equal(len(c.names) + 1))
+		// Small jobs run on the other workers, of which each runs four tasks. This one needs all.
+		c.runTime.Store(int64(time.Second))
+		wide := job("after", 4*(len(c.names)+1))
+		Eventually(func() cairnbayv1.SubmitVerdict { return submit(c.owner, wide, time.Second) }, "10s", "20ms").Should(Equal(accepted))
+		Eventually(func() []cairnbay.WorkflowTask { return c.fleet.Running("w9") }, "10s", "20ms").ShouldNot(BeEmpty())
 		Expect(c.fleet.Broken()).To(BeEmpty())
 	})
 
