--- a/internal/fake/agent/agent.go
+++ b/internal/fake/agent/agent.go
@@ -87,7 +87,9 @@
 	lease   time.Duration
 	token   uint64
 	running map[cairnbay.WorkflowTask]run
-	ends    []cairnbay.AgentEnd
+	// sorted holds the keys of running in order; nil after a change of the keys.
+	sorted []cairnbay.WorkflowTask
+	ends   []cairnbay.AgentEnd
 	// endedAt is when each end happened, by sequence.
 	endedAt  map[uint64]time.Duration
 	sequence uint64
@@ -243,14 +245,19 @@
 	return f.starts
 }
 
-// inOrder lists what runs in a fixed order, so that a replay repeats.
+// inOrder lists what runs in a fixed order, so that a replay repeats. The caller does not
+// change the list. It is kept until the next start or end, since each call to the fleet
+// lists the tasks of all workers.
 func (w *worker) inOrder() []cairnbay.WorkflowTask {
-	return slices.SortedFunc(maps.Keys(w.running), func(a, b cairnbay.WorkflowTask) int {
-		return cmp.Or(
-			cmp.Compare(a.Job, b.Job), cmp.Compare(a.Occurrence, b.Occurrence),
-			cmp.Compare(a.Step, b.Step), cmp.Compare(a.Index, b.Index),
-		)
-	})
+	if w.sorted == nil && len(w.running) > 0 {
+		w.sorted = slices.SortedFunc(maps.Keys(w.running), func(a, b cairnbay.WorkflowTask) int {
+			return cmp.Or(
+				cmp.Compare(a.Job, b.Job), cmp.Compare(a.Occurrence, b.Occurrence),
+				cmp.Compare(a.Step, b.Step), cmp.Compare(a.Index, b.Index),
+			)
+		})
+	}
+	return w.sorted
 }
 
 // settle carries out what time has brought; the caller holds the lock.
@@ -291,6 +298,7 @@
 
 func (f *Fleet) end(w *worker, task cairnbay.WorkflowTask, one run, reason cairnbay.AgentEndReason) {
 	delete(w.running, task)
+	w.sorted = nil
 	w.highest[task] = max(w.highest[task], one.attempt)
 	if reason == cairnbay.AgentDone {
 		if f.ended[task.Job] == nil {
@@ -367,6 +375,7 @@
 		one.began, one.ends = now, now+f.config.RunTime(order.Task)
 	}
 	w.running[order.Task] = one
+	w.sorted = nil
 	f.endGang(replaced, cairnbay.AgentGangEnded)
 	f.starts++
 	f.begun[order.Task] = now
--- a/internal/fake/agent/crash.go
+++ b/internal/fake/agent/crash.go
@@ -108,6 +108,7 @@
 		gangs = append(gangs, w.running[task].gang)
 	}
 	clear(w.running)
+	w.sorted = nil
 	for _, one := range gangs {
 		f.endGang(one, cairnbay.AgentGangEnded)
 	}
