gate, drive: API keys, and access to jobs by workspace

Cause: calls with unknown keys are served, and every caller can view, cancel and take over every job. Change: where the configuration has workspaces, the gate requires the key of one on queues that are not public (401 otherwise, before the body is read) and sets the workspace of a job. The index of key digests is made once for a version. Refused calls cost one hash at most, are counted and logged in one line a second. The owner compares the workspace of a job for inspection, cancellation and repeated submissions: 410 and 409.

--- a/internal/process/drive/compact.go
+++ b/internal/process/drive/compact.go
@@ -95,7 +95,7 @@
 	for _, job := range d.core.Snapshot() {
 		if job.Ended != cairnbay.WorkflowUnknown {
 			records = append(records, &cairnbayv1.WorkRecord{Ended: &cairnbayv1.EndedWorkflow{
-				Id: job.Workflow.ID, State: uint32(job.Ended),
+				Id: job.Workflow.ID, State: uint32(job.Ended), Workspace: job.Workflow.Workspace,
 			}})
 			continue
 		}
--- a/internal/process/drive/drive.go
+++ b/internal/process/drive/drive.go
@@ -268,7 +268,8 @@
 		case rec.GetSettled() > 0:
 			d.settled = rec.GetSettled()
 		case rec.GetEnded() != nil:
-			d.core.RestoreEnded(now, rec.GetEnded().GetId(), cairnbay.WorkflowState(rec.GetEnded().GetState()))
+			ended := rec.GetEnded()
+			d.core.RestoreEnded(now, ended.GetId(), cairnbay.WorkflowState(ended.GetState()), ended.GetWorkspace())
 		}
 	}
 	for id, entry := range workers {
--- a/internal/process/drive/submit.go
+++ b/internal/process/drive/submit.go
@@ -18,11 +18,13 @@
 	ReasonStoreStalled = "store_not_answering"
 	reasonOwnerStopped = "owner_stopped"
 	reasonOverloaded   = "owner_overloaded"
+	// reasonOtherWorkspace is for the ID of another workspace's job.
+	reasonOtherWorkspace = "id_of_another_workspace"
 )
 
 // Verdict is the answer to a submission.
 type Verdict struct {
-	// Kind is accepted, refused, uncertain or not_owner.
+	// Kind is accepted, refused, uncertain, not_owner or conflict.
 	Kind cairnbayv1.SubmitVerdict
 	// Reason says why a submission was refused or is uncertain; empty otherwise.
 	Reason string
@@ -45,13 +47,16 @@
 	// done is closed once err is set.
 	done chan struct{}
 	err  error
+	// workspace is that of the workflow.
+	workspace string
 }
 
 // Submit stores a workflow and accepts it, or refuses it. The verdict is
 // uncertain when the context or the ownership ends before the store's answer, and
 // not_owner once a newer owner exists or the drive is closed. A submission with
 // the ID of a job that is stored, or being stored, counts as the same job; its
-// contents are not compared.
+// contents are not compared. The verdict is conflict if that job belongs to another
+// workspace.
 func (d *Drive) Submit(ctx context.Context, workflow cairnbay.Workflow) Verdict {
 	verdict, pending := d.trySubmit(workflow)
 	if pending != nil {
@@ -90,6 +95,9 @@
 	arrivedAt := d.config.BootTime()
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if !d.permitsJob(&cairnbayv1.AccessScope{Workspace: workflow.Workspace}, workflow.ID) {
+		return Verdict{Kind: cairnbayv1.SubmitVerdict_SUBMIT_VERDICT_CONFLICT, Reason: reasonOtherWorkspace}, nil
+	}
 	if pending := d.pending[workflow.ID]; pending != nil {
 		return Verdict{}, pending
 	}
@@ -126,7 +134,7 @@
 	if workflow.AcceptedUnixMS == 0 {
 		workflow.AcceptedUnixMS = now.UnixMS
 	}
-	pending := &submission{done: make(chan struct{})}
+	pending := &submission{done: make(chan struct{}), workspace: workflow.Workspace}
 	d.pending[workflow.ID] = pending
 	d.writer.TryAppend([]*cairnbayv1.WorkRecord{{Accepted: EncodeWorkflow(&workflow)}}, func(err error) {
 		d.mu.Lock()
@@ -164,6 +172,8 @@
 		return "uncertain"
 	case cairnbayv1.SubmitVerdict_SUBMIT_VERDICT_NOT_OWNER:
 		return "not_owner"
+	case cairnbayv1.SubmitVerdict_SUBMIT_VERDICT_CONFLICT:
+		return "conflict"
 	default:
 		return "invalid"
 	}
@@ -228,7 +238,13 @@
 // ErrUnknown when the context or the drive ends first, in which case the
 // cancellation may take effect.
 func (d *Drive) Cancel(ctx context.Context, id string) error {
-	if err := d.awaitPending(ctx, id); err != nil {
+	return d.CancelScoped(ctx, nil, id)
+}
+
+// CancelScoped is Cancel for a caller that may cancel only the jobs of its scope; for
+// any other job it returns ErrNotFound.
+func (d *Drive) CancelScoped(ctx context.Context, scope *cairnbayv1.AccessScope, id string) error {
+	if err := d.awaitPending(ctx, scope, id); err != nil {
 		return err
 	}
 	d.mu.Lock()
@@ -236,11 +252,12 @@
 		d.mu.Unlock()
 		return cairnbay.ErrNotOwner
 	}
-	switch d.core.State(id) {
-	case cairnbay.WorkflowUnknown:
+	state := d.core.State(id)
+	switch {
+	case state == cairnbay.WorkflowUnknown, !d.permitsJob(scope, id):
 		d.mu.Unlock()
 		return cairnbay.ErrNotFound
-	case cairnbay.WorkflowCancelled:
+	case state == cairnbay.WorkflowCancelled:
 		d.mu.Unlock()
 		return nil
 	default:
@@ -270,13 +287,13 @@
 	}
 }
 
-// awaitPending waits for the submission of the job that is being stored, if any.
-// It returns ErrUnknown when the context ends first.
-func (d *Drive) awaitPending(ctx context.Context, id string) error {
+// awaitPending waits for the submission of the job that is being stored, if any and
+// if the scope includes it. It returns ErrUnknown when the context ends first.
+func (d *Drive) awaitPending(ctx context.Context, scope *cairnbayv1.AccessScope, id string) error {
 	d.mu.Lock()
 	pending := d.pending[id]
 	d.mu.Unlock()
-	if pending == nil {
+	if pending == nil || !Permits(scope, pending.workspace) {
 		return nil
 	}
 	select {
--- a/internal/process/relay/relay.go
+++ b/internal/process/relay/relay.go
@@ -93,7 +93,7 @@
 ) (*connect.Response[cairnbayv1.InspectWorkflowResponse], error) {
 	response := &cairnbayv1.InspectWorkflowResponse{}
 	if owner := r.config.Drive(request.Msg.GetShard()); owner != nil {
-		state, isOwner := owner.Inspect(ctx, request.Msg.GetId())
+		state, isOwner := owner.InspectScoped(ctx, request.Msg.GetScope(), request.Msg.GetId())
 		response.Owner, response.State = isOwner, uint32(state)
 	}
 	return connect.NewResponse(response), nil
@@ -105,7 +105,7 @@
 ) (*connect.Response[cairnbayv1.CancelWorkflowResponse], error) {
 	response := &cairnbayv1.CancelWorkflowResponse{}
 	if owner := r.config.Drive(request.Msg.GetShard()); owner != nil {
-		err := owner.Cancel(ctx, request.Msg.GetId())
+		err := owner.CancelScoped(ctx, request.Msg.GetScope(), request.Msg.GetId())
 		response.Owner = !errors.Is(err, cairnbay.ErrNotOwner)
 		response.Found = !errors.Is(err, cairnbay.ErrNotFound)
 		response.Stored = err == nil
--- a/internal/process/sched/restore_test.go
+++ b/internal/process/sched/restore_test.go
@@ -14,7 +14,7 @@
 	now := sched.Moment{BootTime: time.Second}
 	newCore := func(state cairnbay.WorkflowState) *sched.Core {
 		core := sched.New(config)
-		core.RestoreEnded(now, "ended", state)
+		core.RestoreEnded(now, "ended", state, "north")
 		core.SetWorker(cairnbay.WorkerEntry{ID: "w", Address: "w", Capacity: cores(4, 4000)})
 		return core
 	}
@@ -23,7 +23,7 @@
 		for _, state := range []cairnbay.WorkflowState{cairnbay.WorkflowCompleted, cairnbay.WorkflowFailed, cairnbay.WorkflowCancelled} {
 			core := newCore(state)
 			Expect(core.State("ended")).To(Equal(state))
-			Expect(core.Snapshot()).To(Equal([]sched.JobRecord{{Workflow: cairnbay.Workflow{ID: "ended"}, Ended: state}}))
+			Expect(core.Snapshot()).To(Equal([]sched.JobRecord{{Workflow: cairnbay.Workflow{ID: "ended", Workspace: "north"}, Ended: state}}))
 		}
 	})
 
--- a/internal/process/sched/sched.go
+++ b/internal/process/sched/sched.go
@@ -269,7 +269,7 @@
 }
 
 // JobRecord is the durable state of a job. Of a job that has ended and of which
-// nothing runs, only the ID of Workflow and Ended are set.
+// nothing runs, only the ID and the Workspace of Workflow and Ended are set.
 type JobRecord struct {
 	Workflow  cairnbay.Workflow
 	Ended     cairnbay.WorkflowState
@@ -282,7 +282,8 @@
 	jobs := make([]JobRecord, 0, len(c.jobs))
 	for _, job := range c.jobs {
 		if job.ended && job.attempts == 0 && job.unwritten == 0 {
-			jobs = append(jobs, JobRecord{Workflow: cairnbay.Workflow{ID: job.workflow.ID}, Ended: job.state()})
+			identity := cairnbay.Workflow{ID: job.workflow.ID, Workspace: job.workflow.Workspace}
+			jobs = append(jobs, JobRecord{Workflow: identity, Ended: job.state()})
 			continue
 		}
 		record := JobRecord{Workflow: job.workflow, Cancelled: job.cancelled}
@@ -299,12 +300,12 @@
 
 // RestoreEnded adds a job of which a snapshot holds only its final state. Its
 // retention starts anew.
-func (c *Core) RestoreEnded(now Moment, id string, state cairnbay.WorkflowState) {
+func (c *Core) RestoreEnded(now Moment, id string, state cairnbay.WorkflowState, workspace string) {
 	if c.jobs[id] != nil {
 		return
 	}
 	c.jobs[id] = &job{
-		workflow: cairnbay.Workflow{ID: id}, ended: true, endedAt: now.BootTime,
+		workflow: cairnbay.Workflow{ID: id, Workspace: workspace}, ended: true, endedAt: now.BootTime,
 		cancelled: state == cairnbay.WorkflowCancelled, failed: state == cairnbay.WorkflowFailed,
 	}
 }
--- a/internal/request/gate/cancel.go
+++ b/internal/request/gate/cancel.go
@@ -35,12 +35,12 @@
 	for {
 		found, err := false, errNoOwner
 		if divided, ok := g.awaitLayout(ctx, callerReq.queue.Class); ok {
-			found, err = g.cancelClass(ctx, divided, callerReq.id)
+			found, err = g.cancelClass(ctx, divided, callerReq)
 		}
 		if err == nil && !found {
 			for class, divided := range g.config.Owners.Layouts() {
 				if class != callerReq.queue.Class && err == nil && !found {
-					found, err = g.cancelClass(ctx, divided, callerReq.id)
+					found, err = g.cancelClass(ctx, divided, callerReq)
 				}
 			}
 		}
@@ -55,9 +55,9 @@
 
 // cancelClass cancels the job at the owner of its shard and, if that owner has it, at
 // those of the class's other shards, over which it may be spread.
-func (g *Gate) cancelClass(ctx context.Context, divided layout.Layout, id string) (bool, error) {
-	home := divided.ShardOfJob(id)
-	found, err := g.cancelShard(ctx, home, id)
+func (g *Gate) cancelClass(ctx context.Context, divided layout.Layout, callerReq *callerRequest) (bool, error) {
+	home := divided.ShardOfJob(callerReq.id)
+	found, err := g.cancelShard(ctx, home, callerReq)
 	if err != nil || !found {
 		return found, err
 	}
@@ -65,7 +65,7 @@
 	for _, shard := range divided.Names() {
 		if shard != home {
 			calls.Go(func() error {
-				_, err := g.cancelShard(ctx, shard, id)
+				_, err := g.cancelShard(ctx, shard, callerReq)
 				return err
 			})
 		}
@@ -74,16 +74,16 @@
 }
 
 // cancelShard cancels the job at the owner of a shard. It returns false if that
-// owner does not have the job. Errors: errNoOwner, also when the called instance
+// owner does not have the job, or has it of another workspace. Errors: errNoOwner, also when the called instance
 // does not own the shard, ErrUnknown if the cancellation may not be stored, or the
 // error of the call.
-func (g *Gate) cancelShard(ctx context.Context, shard, id string) (bool, error) {
+func (g *Gate) cancelShard(ctx context.Context, shard string, callerReq *callerRequest) (bool, error) {
 	owner, ok := g.awaitOwner(ctx, shard)
 	if !ok {
 		return false, errNoOwner
 	}
 	if localDrive := g.config.Drive(shard); localDrive != nil {
-		err := localDrive.Cancel(ctx, id)
+		err := localDrive.CancelScoped(ctx, callerReq.scope, callerReq.id)
 		if errors.Is(err, cairnbay.ErrNotFound) {
 			return false, nil
 		}
@@ -92,7 +92,7 @@
 	ctx, cancel := context.WithTimeout(ctx, ownerCallTimeout)
 	defer cancel()
 	response, err := g.config.Relay.Client(owner.Address).Cancel(ctx,
-		connect.NewRequest(&cairnbayv1.CancelWorkflowRequest{Shard: shard, Id: id}))
+		connect.NewRequest(&cairnbayv1.CancelWorkflowRequest{Shard: shard, Id: callerReq.id, Scope: callerReq.scope}))
 	g.recordOwnerCall(err == nil)
 	switch {
 	case err != nil:
--- a/internal/request/gate/gate.go
+++ b/internal/request/gate/gate.go
@@ -64,7 +64,8 @@
 	// other shard.
 	Drive func(shard string) *drive.Drive
 	Log   *logrus.Entry
-	// Metrics registers the histogram of request durations.
+	// Metrics registers the histogram of request durations and the counters of calls
+	// refused because of their key.
 	Metrics *metrics.Set
 }
 
@@ -77,6 +78,10 @@
 	// storeStalledAt is when a submission was last refused because the owner's
 	// store did not answer, in nanoseconds since the epoch; 0 for never.
 	storeStalledAt atomic.Int64
+	// keys is the key index of the configuration in force.
+	keys keyring
+	// unauthorised reports the calls refused because of their key.
+	unauthorised *refusalLog
 }
 
 // storeStallMemory is how long after such a refusal StoreStalled reports it.
@@ -125,7 +130,9 @@
 
 // New returns a gate.
 func New(config Config) *Gate {
-	return &Gate{config: config}
+	return &Gate{
+		config: config, keys: keyring{log: config.Log}, unauthorised: newRefusalLog(config.Log, config.Metrics),
+	}
 }
 
 const (
@@ -153,13 +160,17 @@
 type callerRequest struct {
 	queue cairnbay.Queue
 	// id is the job's ID; empty in a request for the queue's length.
-	id        string
+	id string
+	// scope limits the request to jobs of the caller's workspace and of public queues;
+	// nil if the configuration requires no keys.
+	scope     *cairnbayv1.AccessScope
 	startedAt time.Time
 	// maybeDelivered is set once an owner may have acted on the request.
 	maybeDelivered bool
 }
 
-// ServeHTTP implements http.Handler. The path is a queue's prefix, followed by a
+// ServeHTTP implements http.Handler. Its checks are, in this order: the configuration
+// (503), the queue (404), the key (401), the method (405). The path is a queue's prefix, followed by a
 // job's ID except in a request for the queue's length.
 func (g *Gate) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	routing := g.config.Routing()
@@ -176,6 +187,9 @@
 		return
 	}
 	callerReq := &callerRequest{queue: queue, id: jobID, startedAt: time.Now()}
+	if !g.authenticate(writer, request, routing, callerReq) {
+		return
+	}
 	ctx, cancel := context.WithTimeout(request.Context(), g.requestTimeout(request, queue))
 	defer cancel()
 	switch {
@@ -290,7 +304,7 @@
 	for {
 		state, err := cairnbay.WorkflowUnknown, errNoOwner
 		if divided, ok := g.awaitLayout(ctx, callerReq.queue.Class); ok {
-			state, err = g.inspectShard(ctx, divided.ShardOfJob(callerReq.id), callerReq.id)
+			state, err = g.inspectShard(ctx, divided.ShardOfJob(callerReq.id), callerReq)
 		}
 		if err == nil && state != cairnbay.WorkflowUnknown {
 			return state, nil
@@ -314,7 +328,7 @@
 		if class == callerReq.queue.Class {
 			continue
 		}
-		state, err := g.inspectShard(ctx, divided.ShardOfJob(callerReq.id), callerReq.id)
+		state, err := g.inspectShard(ctx, divided.ShardOfJob(callerReq.id), callerReq)
 		if err != nil || state != cairnbay.WorkflowUnknown {
 			return state, err
 		}
@@ -324,13 +338,13 @@
 
 // inspectShard gets the job's state from the owner of a shard. Errors: errNoOwner,
 // also when the called instance does not own the shard, or the error of the call.
-func (g *Gate) inspectShard(ctx context.Context, shard, id string) (cairnbay.WorkflowState, error) {
+func (g *Gate) inspectShard(ctx context.Context, shard string, callerReq *callerRequest) (cairnbay.WorkflowState, error) {
 	owner, ok := g.awaitOwner(ctx, shard)
 	if !ok {
 		return cairnbay.WorkflowUnknown, errNoOwner
 	}
 	if localDrive := g.config.Drive(shard); localDrive != nil {
-		if state, isOwner := localDrive.Inspect(ctx, id); isOwner {
+		if state, isOwner := localDrive.InspectScoped(ctx, callerReq.scope, callerReq.id); isOwner {
 			return state, nil
 		}
 		return cairnbay.WorkflowUnknown, errNoOwner
@@ -338,7 +352,7 @@
 	ctx, cancel := context.WithTimeout(ctx, ownerCallTimeout)
 	defer cancel()
 	response, err := g.config.Relay.Client(owner.Address).Inspect(ctx,
-		connect.NewRequest(&cairnbayv1.InspectWorkflowRequest{Shard: shard, Id: id}))
+		connect.NewRequest(&cairnbayv1.InspectWorkflowRequest{Shard: shard, Id: callerReq.id, Scope: callerReq.scope}))
 	g.recordOwnerCall(err == nil)
 	if err != nil {
 		return cairnbay.WorkflowUnknown, err
--- a/internal/request/gate/submit.go
+++ b/internal/request/gate/submit.go
@@ -19,7 +19,7 @@
 
 // submit submits a workflow. It responds with 200 if the owner accepted the job,
 // 504 if that is not known, 503 if no owner can have accepted it, 400 if the body is
-// invalid.
+// invalid, 409 if the ID is that of another workspace's job.
 func (g *Gate) submit(ctx context.Context, writer http.ResponseWriter, request *http.Request, callerReq *callerRequest) {
 	body, err := io.ReadAll(http.MaxBytesReader(writer, request.Body, maxBodyBytes))
 	if err != nil {
@@ -33,6 +33,7 @@
 		return
 	}
 	workflow.Queue, workflow.Class = callerReq.queue, callerReq.queue.Class
+	workflow.Workspace = callerReq.scope.GetWorkspace()
 	verdict, err := g.submitAll(ctx, &workflow, callerReq)
 	switch {
 	case callerReq.maybeDelivered && verdict.Kind != cairnbayv1.SubmitVerdict_SUBMIT_VERDICT_ACCEPTED,
@@ -44,6 +45,9 @@
 	case verdict.Kind == cairnbayv1.SubmitVerdict_SUBMIT_VERDICT_ACCEPTED:
 		g.recordOutcome(callerReq, http.StatusOK, "accepted")
 		writer.WriteHeader(http.StatusOK)
+	case verdict.Kind == cairnbayv1.SubmitVerdict_SUBMIT_VERDICT_CONFLICT:
+		g.recordOutcome(callerReq, http.StatusConflict, "conflict")
+		http.Error(writer, "the ID belongs to another job", http.StatusConflict)
 	default:
 		if verdict.Reason == drive.ReasonStoreStalled {
 			g.storeStalledAt.Store(time.Now().UnixNano())
@@ -75,6 +79,10 @@
 		callerReq.maybeDelivered = callerReq.maybeDelivered || i > 0
 		var err error
 		verdict, err = g.submitToOwner(ctx, assigned.Shard, &assigned.Workflow, callerReq)
+		if verdict.Kind == cairnbayv1.SubmitVerdict_SUBMIT_VERDICT_CONFLICT && i == 0 {
+			// The workspace of a job does not change, so no earlier try was accepted.
+			callerReq.maybeDelivered = false
+		}
 		if err != nil || verdict.Kind != cairnbayv1.SubmitVerdict_SUBMIT_VERDICT_ACCEPTED || verdict.Cancelled {
 			return verdict, err
 		}
