pull, node: configurations propagate between instances

Cause: a third of the instances may not reach the store while a key is withdrawn, and a read at a start may be stale. Change: package pull asks another instance every 500 ms for a newer version, three of them while the own version may be out of date. applyRouting adopts what either source reports, under a lock, and never an older version. Messages carry the configuration with digests in place of the keys, and the store's watch no longer goes over another instance, which would carry keys in clear. An instance whose version may be out of date while others' is not reports itself not ready, and a caller's first request after a suspension waits for a pull. Without tenants neither applies.

--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -21,6 +21,7 @@
 	"cairnbay/internal/process/detour"
 	"cairnbay/internal/process/drive"
 	"cairnbay/internal/process/mirror"
+	"cairnbay/internal/process/pull"
 	"cairnbay/internal/process/relay"
 	"cairnbay/internal/process/sched"
 	"cairnbay/internal/process/tenure"
@@ -41,6 +42,9 @@
 	RoutingPrefix, RoutingKey, WorkerPrefix string
 	DecodeRouting                           func(value []byte) (cairnbay.Routing, error)
 	DecodeWorker                            func(key string, value []byte) (cairnbay.WorkerEntry, error)
+	// DigestKeys replaces the API keys of a configuration by their digests, for other
+	// instances. DecodeRouting decodes the result too.
+	DigestKeys func(value []byte) ([]byte, error)
 	// ReadyPath is the path of the load balancer's readiness check.
 	ReadyPath string
 }
@@ -69,11 +73,13 @@
 	// WatchStallTimeout is how long a watch may report nothing before it is
 	// replaced.
 	WatchStallTimeout time.Duration
-	Sched             sched.Config
-	Platform          Platform
-	Clock             cairnbay.Clock
-	Log               *logrus.Entry
-	Metrics           *metrics.Set
+	// WatchHold is how long the store holds a watch without events.
+	WatchHold time.Duration
+	Sched     sched.Config
+	Platform  Platform
+	Clock     cairnbay.Clock
+	Log       *logrus.Entry
+	Metrics   *metrics.Set
 	// MemberClient calls other instances.
 	MemberClient *http.Client
 }
@@ -82,6 +88,12 @@
 type Node struct {
 	config  Config
 	routing atomic.Pointer[cairnbay.Routing]
+	// shared is the version in force for other instances. adopting is held by
+	// applyRouting, since the store and other instances report versions concurrently.
+	shared   atomic.Pointer[sharedRouting]
+	adopting sync.Mutex
+	// puller asks other instances for newer versions.
+	puller *pull.Puller
 	// detour calls the store, through another instance while this one cannot
 	// reach it directly.
 	detour *detour.Detour
@@ -162,6 +174,7 @@
 		Store: func(ctx context.Context, call *cairnbayv1.StoreCall) *cairnbayv1.StoreAnswer {
 			return n.detour.Serve(ctx, call)
 		},
+		Configuration: func(version uint64) *cairnbayv1.PullConfigurationResponse { return n.puller.Answer(version) },
 	})
 	n.detour = detour.New(detour.Config{
 		Store: config.Platform.Store, Peers: n.otherAddresses, Client: n.relay.Client,
@@ -169,10 +182,7 @@
 	})
 	config.Platform.Store, n.config.Platform.Store = n.detour, n.detour
 	n.advicePool = relay.NewAdvicePool(n.relay, config.Instance, n.addresses)
-	n.mirror = mirror.New(mirror.Config{
-		Store: config.Platform.Store, Prefix: config.Platform.RoutingPrefix, Log: config.Log,
-		StallTimeout: config.WatchStallTimeout, OnChange: n.applyRouting,
-	})
+	n.startConfiguration()
 	n.tenure = tenure.New(tenure.Config{
 		Store: config.Platform.Store, Log: config.Log, Clock: config.Clock, BootTime: timer.Boot,
 		Instance: config.Instance, Address: config.MemberAddress, DataCentre: config.DataCentre,
@@ -182,7 +192,7 @@
 	n.publishedTenure.Store(n.tenure)
 	n.gate = gate.New(gate.Config{
 		Format: config.Platform.Format, Routing: n.routing.Load, Owners: n.tenure,
-		Relay: n.relay, Drive: n.drive, Log: config.Log, Metrics: config.Metrics,
+		Relay: n.relay, Drive: n.drive, Log: config.Log, Metrics: config.Metrics, AwaitFresh: n.awaitFresh,
 	})
 	readyMux := http.NewServeMux()
 	readyMux.HandleFunc("GET "+config.Platform.ReadyPath, n.serveReady)
@@ -226,12 +236,12 @@
 	return nil
 }
 
-// closeConnections wraps a handler. While the instance is stopping or isolated, it
-// closes each connection after the next answer, so that callers reconnect to
+// closeConnections wraps a handler. While the instance is stopping or isolated, or has a
+// configuration that may be out of date, it closes each connection after the next answer, so that callers reconnect to
 // another instance.
 func (n *Node) closeConnections(handler http.Handler) http.Handler {
 	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
-		if n.stopping.Load() || n.isolated() {
+		if n.stopping.Load() || n.isolated() || n.outOfDate() {
 			writer.Header().Set("Connection", "close")
 		}
 		handler.ServeHTTP(writer, request)
@@ -261,7 +271,7 @@
 }
 
 func (n *Node) serveReady(writer http.ResponseWriter, _ *http.Request) {
-	if n.stopping.Load() || n.routing.Load() == nil || !n.tenure.Synced() || n.isolated() {
+	if n.stopping.Load() || n.routing.Load() == nil || !n.tenure.Synced() || n.isolated() || n.outOfDate() {
 		writer.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -273,9 +283,11 @@
 	metrics.WriteProcessMetrics(writer)
 }
 
-// applyRouting adopts changes of the operators' configuration. It ignores
-// versions that are not above the current one.
+// applyRouting adopts changes of the operators' configuration, from the store or from
+// another instance. It ignores versions that are not above the current one.
 func (n *Node) applyRouting(changes []cairnbay.Event) {
+	n.adopting.Lock()
+	defer n.adopting.Unlock()
 	for _, change := range changes {
 		if change.Entry.Key != n.config.Platform.RoutingKey || change.Kind == cairnbay.EventDelete {
 			continue
@@ -291,9 +303,16 @@
 				Warn("configuration is not newer")
 			continue
 		}
+		shared, err := n.config.Platform.DigestKeys(change.Entry.Value)
+		if err != nil {
+			n.config.Log.WithError(err).Error("configuration not adopted")
+			continue
+		}
 		n.routing.Store(&routing)
+		n.shared.Store(&sharedRouting{version: routing.Version, value: shared})
 		n.config.Log.WithFields(logrus.Fields{
 			"version": routing.Version, "queues": len(routing.Queues), "classes": routing.ServingClasses(),
+			"workspaces": len(routing.Workspaces), "keys": keyCount(&routing), "pulled": change.Entry.Revision == 0,
 		}).Info("configuration adopted")
 	}
 }
@@ -398,6 +417,7 @@
 	n.stopProbes()
 	n.tenure.Close()
 	n.mirror.Close()
+	n.puller.Close()
 	n.detour.Close()
 	n.config.Log.WithField("took_ms", time.Since(startedAt).Milliseconds()).Info("stopped")
 }
--- a/internal/request/gate/gate.go
+++ b/internal/request/gate/gate.go
@@ -67,6 +67,9 @@
 	// Metrics registers the histogram of request durations and the counters of calls
 	// refused because of their key.
 	Metrics *metrics.Set
+	// AwaitFresh, if set, waits a moment for a newer configuration where the one in force
+	// may be out of date.
+	AwaitFresh func(ctx context.Context)
 }
 
 // Gate is the http.Handler for callers' requests.
@@ -173,6 +176,9 @@
 // (503), the queue (404), the key (401), the method (405). The path is a queue's prefix, followed by a
 // job's ID except in a request for the queue's length.
 func (g *Gate) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	if g.config.AwaitFresh != nil {
+		g.config.AwaitFresh(request.Context())
+	}
 	routing := g.config.Routing()
 	if routing == nil {
 		g.refuse(writer, &callerRequest{startedAt: time.Now()}, "no_configuration", time.Second)
--- a/internal/tool/serve/node.go
+++ b/internal/tool/serve/node.go
@@ -112,7 +112,7 @@
 		Cores:          settings.Cores, LinkMbps: settings.LinkMbps, Grace: settings.Grace,
 		Lease: min(workerLease, settings.MaxLease), MaxLease: settings.MaxLease, StoreLease: max(storeLease, settings.StoreMinLease),
 		EntryTTL:          settings.EntryTTL,
-		WatchStallTimeout: watchStall,
+		WatchStallTimeout: watchStall, WatchHold: watchWait,
 		Sched: sched.Config{
 			CrossRackFactor: settings.CrossRackFactor,
 			Retention:       settings.StatusRetention, StopTime: settings.StopTime,
@@ -161,7 +161,7 @@
 			EncodeState: platform.EncodeState, EncodeQueueLength: platform.EncodeQueueLength,
 		},
 		RoutingPrefix: platform.OperatorPrefix, RoutingKey: platform.RoutingKey, WorkerPrefix: platform.WorkerPrefix,
-		DecodeRouting: platform.DecodeRouting, DecodeWorker: platform.DecodeWorker,
+		DecodeRouting: platform.DecodeRouting, DigestKeys: platform.DigestKeys, DecodeWorker: platform.DecodeWorker,
 		ReadyPath: platform.ReadyPath,
 	}
 	if settings.AdvisorAddress != "" {
