soak, stand-ins: callers with API keys

Cause: the soak knows no workspaces, so that nothing shows a call that an old version of the keys handled. Change: cairnbay soak -workspaces N gives callers keys of N workspaces, which are rotated, added and withdrawn during the faults and after them. internal/fake/keys records the versions and judges each answer: no call without a key that some version in force may hold is accepted, and in calm times not later than 3 s after a change. Jobs for invented keys must not run, other workspaces get no 200, and logs, metrics and stored values are searched for keys. Without the option the schedule of a seed is as before.

--- a/internal/tool/soak/callers.go
+++ b/internal/tool/soak/callers.go
@@ -5,12 +5,15 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
 
 	"cairnbay"
+	"cairnbay/internal/fake/keys"
+	"cairnbay/internal/process/timer"
 	"cairnbay/platform/stand"
 )
 
@@ -54,6 +57,7 @@
 	steps, tasks int
 	gang, deadly bool
 	outcome      outcome
+	identity     identity
 }
 
 // callers submit jobs to random instances.
@@ -66,6 +70,8 @@
 	mu     sync.Mutex
 	jobs   []*job
 	broken []string
+	// old counts the answers of old versions during faults.
+	old int
 }
 
 func newCallers(w *world) *callers {
@@ -87,6 +93,7 @@
 				one := &job{
 					id: fmt.Sprintf("%08x%08x", n, number), steps: 1 + random.IntN(2), tasks: 1 + random.IntN(5),
 				}
+				one.identity = c.drawIdentity(random)
 				if number%gangShare == 0 {
 					one.gang = true
 					one.tasks++
@@ -141,6 +148,9 @@
 		fmt.Fprintf(w.config.Out, ", %d %s (%d gangs)", count, one.name, gangs)
 	}
 	fmt.Fprintf(w.config.Out, ", %d starts, %d ends alone\n", w.fleet.Starts(), len(incomplete))
+	if w.book != nil {
+		fmt.Fprintf(w.config.Out, "keys: %d answers of versions older than %v during faults\n", c.old, keyBound)
+	}
 }
 
 // submit tries a job until it is accepted, and cancels a few.
@@ -149,17 +159,20 @@
 	c.jobs = append(c.jobs, one)
 	c.mu.Unlock()
 	for range tries {
-		status, _ := c.call(ctx, random, http.MethodPost, one.id, stand.Job(one.steps, one.tasks, taskSize, one.gang))
+		body := stand.Job(one.steps, one.tasks, taskSize, one.gang)
+		status, _ := c.call(ctx, random, http.MethodPost, one.id, one.identity.pick(c.world.book, random), body)
 		switch status {
 		case http.StatusOK:
 			one.outcome = accepted
+			c.tryAsOther(ctx, random, one)
 			if random.IntN(cancelShare) == 0 {
-				if status, _ := c.call(ctx, random, http.MethodDelete, one.id, nil); status != http.StatusGone {
+				status, _ := c.call(ctx, random, http.MethodDelete, one.id, one.identity.held(c.world.book), nil)
+				if status != http.StatusGone && status != http.StatusUnauthorized {
 					one.outcome = cancelled
 				}
 			}
 			return
-		case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusNotFound:
+		case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusNotFound, http.StatusUnauthorized:
 		default:
 			one.outcome = uncertain
 		}
@@ -169,24 +182,35 @@
 
 // call makes one request to a random instance; status 0 stands for no answer. A
 // connection that could not be opened counts as a refusal.
-func (c *callers) call(ctx context.Context, random *rand.Rand, method, id string, body []byte) (status int, state string) {
+func (c *callers) call(
+	ctx context.Context, random *rand.Rand, method, id string, as credentials, body []byte,
+) (status int, state string) {
 	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
-	url := "http://" + c.world.front(random.IntN(len(c.world.processes))) + prefix + id
+	url := "http://" + c.world.front(random.IntN(len(c.world.processes))) + as.prefix() + id
 	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
 	if err != nil {
 		return 0, ""
 	}
 	request.Host = host
+	if as.key != "" {
+		request.Header.Set("Authorization", "Token "+as.key)
+	}
+	sentAt := timer.Boot()
 	response, err := c.client.Do(request)
 	if err != nil {
 		return 0, ""
 	}
 	defer response.Body.Close()
+	c.judge(as, sentAt, response.StatusCode)
+	text, err := io.ReadAll(response.Body)
+	if bytes.Contains(text, []byte(keys.Marker)) {
+		c.report("an answer shows a key: %s %s, status %d", method, id, response.StatusCode)
+	}
 	var answer struct {
 		State string `json:"state"`
 	}
-	if method == http.MethodGet && json.NewDecoder(response.Body).Decode(&answer) != nil {
+	if err != nil || method == http.MethodGet && json.Unmarshal(text, &answer) != nil {
 		return response.StatusCode, ""
 	}
 	return response.StatusCode, answer.State
@@ -197,6 +221,9 @@
 	random := rand.New(rand.NewPCG(c.world.config.Seed, 0))
 	deadline := time.Now().Add(settleWait)
 	for _, one := range c.jobs {
+		if one.identity.invented && c.world.fleet.Started(one.id) {
+			c.broken = append(c.broken, fmt.Sprintf("job %s ran for keys that no configuration held", one.id))
+		}
 		switch one.outcome {
 		case accepted:
 			if one.deadly {
@@ -217,7 +244,7 @@
 func (c *callers) awaitGivenUp(ctx context.Context, random *rand.Rand, one *job, deadline time.Time) {
 	status, state := 0, ""
 	for time.Now().Before(deadline) && state != "failed" {
-		status, state = c.call(ctx, random, http.MethodGet, one.id, nil)
+		status, state = c.call(ctx, random, http.MethodGet, one.id, one.identity.held(c.world.book), nil)
 		time.Sleep(50 * time.Millisecond)
 	}
 	crashes := c.world.fleet.CrashCount(cairnbay.WorkflowTask{Job: one.id})
@@ -230,7 +257,7 @@
 func (c *callers) awaitCompleted(ctx context.Context, random *rand.Rand, one *job, deadline time.Time) {
 	status, state := 0, ""
 	for time.Now().Before(deadline) {
-		status, state = c.call(ctx, random, http.MethodGet, one.id, nil)
+		status, state = c.call(ctx, random, http.MethodGet, one.id, one.identity.held(c.world.book), nil)
 		if state == "completed" {
 			if done := c.world.fleet.Done(one.id); done < one.steps*one.tasks {
 				c.broken = append(c.broken, fmt.Sprintf("job %s is shown as completed after %d of %d tasks", one.id, done, one.steps*one.tasks))
--- a/internal/tool/soak/faults.go
+++ b/internal/tool/soak/faults.go
@@ -36,7 +36,11 @@
 	for ctx.Err() == nil && time.Now().Before(deadline) {
 		time.Sleep(time.Duration(random.Int64N(int64(gapMost))))
 		length := time.Duration(random.Int64N(int64(lengthMost)))
-		did := faults[random.IntN(len(faults))](ctx, w, random, length)
+		drawn := faults
+		if w.book != nil {
+			drawn = keyFaults
+		}
+		did := drawn[random.IntN(len(drawn))](ctx, w, random, length)
 		w.faults++
 		fmt.Fprintf(w.config.Out, "%6.2f s  %s\n", time.Since(began).Seconds(), did)
 	}
@@ -160,6 +164,5 @@
 }
 
 func configure(_ context.Context, w *world, _ *rand.Rand, _ time.Duration) string {
-	w.configure()
-	return fmt.Sprintf("configuration %d", w.version)
+	return fmt.Sprintf("configuration %d", w.configure())
 }
--- a/internal/tool/soak/soak.go
+++ b/internal/tool/soak/soak.go
@@ -25,6 +25,9 @@
 	Workers   int
 	// Shards is the number of shards of the workers' class, at least 1.
 	Shards int
+	// Workspaces is the number of workspaces whose keys callers need; 0 for a
+	// configuration without them.
+	Workspaces int
 	// KeepNames says that a worker that crashes is back under its name.
 	KeepNames bool
 	// FirstPort is the first port of the first instance.
@@ -53,6 +56,7 @@
 		Examples: []string{
 			"cairnbay soak -seed 7 -length 30s",
 			"cairnbay soak -seed 7 -instances 30 -workers 60 -length 2m",
+			"cairnbay soak -seed 7 -workspaces 4",
 		},
 		Prepare: func(flags *flag.FlagSet, streams shell.Streams) shell.Runner {
 			config := Defaults()
@@ -61,6 +65,7 @@
 			flags.IntVar(&config.Instances, "instances", config.Instances, "instances to start")
 			flags.IntVar(&config.Workers, "workers", config.Workers, "workers to stand in for")
 			flags.IntVar(&config.Shards, "shards", config.Shards, "shards of the workers' class; the workers stand in racks of two")
+			flags.IntVar(&config.Workspaces, "workspaces", config.Workspaces, "workspaces whose keys callers need, at least 2; 0 for a configuration without them")
 			flags.BoolVar(&config.KeepNames, "keep-names", config.KeepNames, "bring workers that crash back under their names")
 			flags.IntVar(&config.FirstPort, "port", config.FirstPort, "first `port` of the instances, on loopback")
 			flags.StringVar(&config.Folder, "folder", "", "`folder` for settings and logs (default: a new one, removed after a run that held)")
@@ -71,6 +76,9 @@
 				if config.Shards < 1 || config.Shards > config.Workers/2 {
 					return errors.Annotatef(shell.ErrUsage, "-shards %d: at least 1, at most half of the workers (%d)", config.Shards, config.Workers/2)
 				}
+				if config.Workspaces < 0 || config.Workspaces == 1 {
+					return errors.Annotatef(shell.ErrUsage, "-workspaces %d: 0 or at least 2", config.Workspaces)
+				}
 				program, err := os.Executable()
 				if err != nil {
 					return errors.Trace(err)
@@ -102,8 +110,10 @@
 	calls.start(ctx)
 	w.injectUntil(ctx, random, time.Now().Add(config.Length))
 	w.heal()
+	w.rotateInCalm(ctx, random)
 	calls.finish()
 	broken := append(w.fleet.Broken(), calls.check(ctx)...)
+	broken = append(broken, w.searchKeys(ctx)...)
 	calls.summarise()
 	if len(broken) > 0 {
 		for _, one := range broken {
--- a/internal/tool/soak/world.go
+++ b/internal/tool/soak/world.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -16,6 +18,7 @@
 
 	"cairnbay"
 	"cairnbay/internal/fake/agent"
+	"cairnbay/internal/fake/keys"
 	"cairnbay/internal/fake/proxy"
 	"cairnbay/internal/fake/store"
 	"cairnbay/internal/process/layout"
@@ -75,8 +78,13 @@
 	workers, firstLives []string
 	shards              []string
 	lives               int
-	version             int
-	faults              int
+	// version is the last version of a configuration without workspaces.
+	version int
+	faults  int
+	// book holds the keys of the workspaces; nil for a configuration without them.
+	book *keys.Book
+	// calmSince is the boot time, in nanoseconds, at which the last fault ended; 0 before.
+	calmSince atomic.Int64
 	// ownerEnds counts the faults that may replace an owner.
 	ownerEnds int
 	later     sync.WaitGroup
@@ -118,6 +126,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if config.Workspaces > 0 {
+		w.book = keys.New(config.Workspaces, rand.New(rand.NewPCG(config.Seed, keySequence)))
+	}
 	if err := w.divide(); err != nil {
 		return nil, err
 	}
@@ -243,10 +254,14 @@
 	w.store.Force(key, value)
 }
 
-// configure writes the next configuration.
-func (w *world) configure() {
+// configure writes the next configuration and returns its version.
+func (w *world) configure() int {
+	if w.book != nil {
+		return w.book.Publish(timer.Boot, w.putTenants)
+	}
 	w.version++
 	w.put(platform.RoutingKey, stand.Config(w.version, class, host, prefix))
+	return w.version
 }
 
 // rackName returns the rack of a worker, which stays with it over its lives.
