soak: a third of the instances without the store while keys change in calm

Cause: that a withdrawn key is refused everywhere was checked in calm times only where every instance reaches the store. Change: the links of a third of the instances to the store are silent, one-way or reset during the second half of the changes after the faults.

--- a/internal/tool/soak/keys.go
+++ b/internal/tool/soak/keys.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"cairnbay/internal/fake/keys"
+	"cairnbay/internal/fake/proxy"
 	"cairnbay/internal/process/timer"
 	"cairnbay/platform"
 	"cairnbay/platform/stand"
@@ -70,14 +71,24 @@
 }
 
 // rotateInCalm changes keys after the last fault, so that callers see whether all
-// instances follow in time. Every workspace has a key at the end.
+// instances follow in time. During the second half of the changes a third of the
+// instances do not reach the store, and must follow all the same. Every workspace has a
+// key at the end.
 func (w *world) rotateInCalm(ctx context.Context, random *rand.Rand) {
 	if w.book == nil {
 		return
 	}
 	w.calmSince.Store(int64(timer.Boot()))
 	time.Sleep(keyBound)
-	for range calmChanges {
+	cut := w.toStore[:max(len(w.toStore)/3, 1)]
+	for change := range calmChanges {
+		if change == calmChanges/2 {
+			mode := []proxy.Mode{proxy.Silence, proxy.OneWay, proxy.Reset}[random.IntN(3)]
+			fmt.Fprintf(w.config.Out, "calm: links of %d instances to the store: %v\n", len(cut), mode)
+			for _, link := range cut {
+				link.Set(mode)
+			}
+		}
 		workspace := random.IntN(w.book.Size())
 		switch random.IntN(3) {
 		case 0:
@@ -91,6 +102,9 @@
 		time.Sleep(calmGap)
 	}
 	time.Sleep(keyBound + calmGap)
+	for _, link := range cut {
+		link.Set(proxy.Pass)
+	}
 	for workspace := range w.book.Size() {
 		w.book.Add(workspace)
 	}
