--- a/internal/process/node/configuration_test.go
+++ b/internal/process/node/configuration_test.go
@@ -1,15 +1,23 @@
 package node
 
 import (
+	"context"
 	"io"
+	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"sync"
+	"sync/atomic"
+	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"github.com/sirupsen/logrus"
 
 	"cairnbay"
+	"cairnbay/gen/cairnbay/v1/cairnbayv1connect"
+	"cairnbay/internal/process/pull"
 )
 
 var _ = Describe("the adoption of configurations", func() {
@@ -54,4 +62,38 @@
 		n.adoptPulled([]byte("3"))
 		Expect(n.routing.Load().Version).To(Equal(version))
 	})
+
+	// Guards against a configuration without tenants that makes instances unready or
+	// callers wait, and against an old version of the keys that nobody notices.
+	It("matters for readiness and for callers' waits only where keys are required", func() {
+		logger := logrus.New()
+		logger.SetOutput(io.Discard)
+		n := &Node{}
+		boot := atomic.Int64{}
+		boot.Store(int64(time.Hour))
+		silent := httptest.NewServer(http.NotFoundHandler())
+		DeferCleanup(silent.Close)
+		n.puller = pull.New(pull.Config{
+			Current: n.currentRouting, Adopt: n.adoptPulled,
+			Peers: func() map[string]string { return map[string]string{"other": silent.URL} },
+			Client: func(address string) cairnbayv1connect.RelayClient {
+				return cairnbayv1connect.NewRelayClient(silent.Client(), address)
+			},
+			BootTime: func() time.Duration { return time.Duration(boot.Load()) },
+			Log:      logger.WithField("test", true), Metrics: metrics.NewSet(),
+		})
+		n.puller.Confirm(time.Hour)
+		boot.Add(int64(pull.MaxAge + time.Second))
+		Expect(n.outOfDate()).To(BeFalse(), "no configuration")
+		for _, required := range []bool{false, true} {
+			n.routing.Store(&cairnbay.Routing{Version: 1, KeysRequired: required})
+			n.puller.Round(context.Background())
+			Expect(n.outOfDate()).To(Equal(required))
+		}
+		n.routing.Store(&cairnbay.Routing{Version: 2})
+		boot.Add(int64(time.Minute))
+		startedAt := time.Now()
+		n.awaitFresh(context.Background())
+		Expect(time.Since(startedAt)).To(BeNumerically("<", 100*time.Millisecond))
+	})
 })
