sched: starts within the part of a workspace's quota

Quotas were exceeded: nothing compared a start with the quota of its workspace. The core now starts a task, or a whole gang, only within the part of the quota that SetWorkspaces gives, and counts an attempt from its reservation until it is detached. During recovery the unfinished inherited tasks that may run on silent workers count. A stage that its part holds back neither preempts nor reserves workers nor calls the policy service. A job that can never fit the quota is refused with quota_too_small.

--- a/internal/process/sched/accept.go
+++ b/internal/process/sched/accept.go
@@ -16,6 +16,9 @@
 		workflow: workflow, workspace: c.workspace(workflow.Workspace), inherited: inherited, acceptedAt: now.BootTime,
 		stages: make(map[stageKey]*stage),
 	}
+	if accepted.workspace != nil && accepted.workspace.seenAt == 0 {
+		accepted.workspace.seenAt = now.BootTime
+	}
 	age := time.Duration(now.UnixMS-workflow.AcceptedUnixMS) * time.Millisecond
 	accepted.firstAcceptedAt = now.BootTime - max(age, 0)
 	c.updateDeadline(accepted)
--- a/internal/process/sched/admit.go
+++ b/internal/process/sched/admit.go
@@ -20,6 +20,8 @@
 type Admission struct {
 	Accept bool
 	Reason string
+	// Detail names what Reason is about, empty for most.
+	Detail string
 	// RetryAfter is the time until the caller should submit again; set only on
 	// a refusal.
 	RetryAfter time.Duration
@@ -54,6 +56,11 @@
 	if !runnable {
 		return Admission{Reason: ReasonNeverFits, RetryAfter: unrunnableRetryAfter}
 	}
+	if resource := c.tooLargeForQuota(&workflow); resource != "" {
+		return Admission{
+			Reason: ReasonQuotaTooSmall, Detail: "workspace " + workflow.Workspace + ", " + resource, RetryAfter: unrunnableRetryAfter,
+		}
+	}
 	criticalPath := c.criticalPath(&workflow)
 	admission := Admission{
 		Accept:       true,
--- a/internal/process/sched/advice.go
+++ b/internal/process/sched/advice.go
@@ -167,7 +167,7 @@
 	slices.SortFunc(soon, comparePrecedence)
 	for _, entry := range soon {
 		stage := entry.stage
-		if c.mayCallPolicy(stage) {
+		if c.mayCallPolicy(stage) && !c.heldWhenReady(now, stage) {
 			stage.advice = newAdvice()
 			actions = append(actions, c.planAdvice(now, stage, nil)...)
 		}
@@ -273,10 +273,15 @@
 		if attempt == nil || attempt.phase != phaseReserved {
 			continue
 		}
-		if stage.advice.valid(attempt.worker.entry.ID, now.BootTime) && attempt.worker.usable() && !attempt.worker.overcommitted() {
+		if stage.advice.valid(attempt.worker.entry.ID, now.BootTime) && attempt.worker.usable() &&
+			!attempt.worker.overcommitted() && !c.exceedsPart(stage) {
 			ready = append(ready, attempt)
 		} else {
 			refused = append(refused, attempt)
+			if !stage.spec.Gang {
+				// The room that it leaves in the part counts for the next one.
+				c.detach(attempt)
+			}
 		}
 	}
 	if stage.spec.Gang && len(refused) > 0 {
--- a/internal/process/sched/gang.go
+++ b/internal/process/sched/gang.go
@@ -43,7 +43,8 @@
 // With a policy service it returns the reserved workers if the gang can start
 // within the duration of a call plus StopTime, else nil.
 func (c *Core) reserveForGang(now Moment, stage *stage, reservations gangReservations) []string {
-	if !stage.spec.Gang || stage.gangAborting || reservations.gangs() >= maxReservingGangs {
+	if !stage.spec.Gang || stage.gangAborting || reservations.gangs() >= maxReservingGangs ||
+		c.quotaRoom(now, stage) < stage.startUnit() {
 		return nil
 	}
 	allowed := c.candidates(now, stage, reservations, func(w *worker) bool {
--- a/internal/process/sched/job.go
+++ b/internal/process/sched/job.go
@@ -71,6 +71,8 @@
 	// last yielded no action. The stage is skipped until the count grows.
 	blockedAtChange   uint64
 	attemptsPerWorker map[string]int
+	// quotaHeldSince is since when a gang waits for room in the part of its workspace.
+	quotaHeldSince time.Duration
 }
 
 // task is one task of a stage.
--- a/internal/process/sched/place.go
+++ b/internal/process/sched/place.go
@@ -15,7 +15,8 @@
 func (c *Core) place(now Moment, stage *stage, reservations gangReservations, allowed func(*worker) bool) []*attempt {
 	size := demand(stage.spec)
 	candidates := c.candidates(now, stage, reservations, func(w *worker) bool { return size.Fits(w.free()) && allowed(w) })
-	if len(candidates) == 0 {
+	room := c.quotaRoom(now, stage)
+	if len(candidates) == 0 || room < stage.startUnit() {
 		return nil
 	}
 	if stage.spec.Gang {
@@ -27,6 +28,9 @@
 		if task.done || task.attempt != nil || task.notBefore > now.BootTime {
 			continue
 		}
+		if len(placed) >= room {
+			break
+		}
 		if c.needsTrial(stage, task) {
 			if target := c.chooseTrialWorker(now, stage, task, candidates); target != nil {
 				placed = append(placed, c.reserve(now, stage, task, target, max(task.lastAttempt, c.config.AttemptBase)+1))
--- a/internal/process/sched/plan.go
+++ b/internal/process/sched/plan.go
@@ -137,6 +137,7 @@
 
 // planStarts places waiting tasks in order of precedence.
 func (c *Core) planStarts(now Moment) (actions []Action) {
+	c.beginQuotaPlan(now)
 	ranked := make([]rankedStage, 0, len(c.readyStages))
 	for stage := range c.readyStages {
 		if stage.blockedAtChange == c.changeCount || (c.blockInherited && stage.job.inherited) {
@@ -270,7 +271,7 @@
 // planStage returns the starts of a stage's waiting tasks that can be placed
 // now, or a call for tickets. For other tasks it reserves or preempts capacity.
 func (c *Core) planStage(now Moment, stage *stage, reservations gangReservations) []Action {
-	if c.waitsForTrial(stage) {
+	if c.waitsForTrial(stage) || c.heldByQuota(now, stage) {
 		return nil
 	}
 	terms := stage.job.workflow.Queue.Advice
--- a/internal/process/sched/preempt.go
+++ b/internal/process/sched/preempt.go
@@ -26,7 +26,8 @@
 	if stage.spec.Gang || c.urgency(now, stage) != urgencyInTime {
 		return
 	}
-	wanted := stage.waiting - c.waitingSuspects(stage) - c.pendingPreemptions(now, stage)
+	pending := c.pendingPreemptions(now, stage)
+	wanted := min(stage.waiting-c.waitingSuspects(stage), c.quotaRoom(now, stage)) - pending
 	if wanted <= 0 {
 		return
 	}
--- a/internal/process/sched/sched.go
+++ b/internal/process/sched/sched.go
@@ -72,6 +72,9 @@
 	// holds their accounts.
 	workspaces map[string]*workspace
 	ledger     *quota.Ledger
+	// termsKnown is set by SetWorkspaces, quotaHeld if the last plan left a stage out
+	// because of its workspace.
+	termsKnown, quotaHeld bool
 	// crashes are those of workers that were silent, and may be cut off and answer
 	// again, and those read from the store, by worker ID.
 	crashes map[string]*crash
@@ -133,6 +136,7 @@
 func (c *Core) EndRecovery() (incompleteGangs int) {
 	c.blockInherited = false
 	c.changeCount++
+	c.updateUnknownUse()
 	for _, job := range c.jobs {
 		for _, stage := range job.stages {
 			if c.stopIncompleteGang(stage) {
--- a/internal/process/sched/workspace.go
+++ b/internal/process/sched/workspace.go
@@ -1,6 +1,8 @@
 package sched
 
 import (
+	"time"
+
 	"cairnbay"
 	"cairnbay/internal/process/quota"
 )
@@ -20,14 +22,28 @@
 	terms WorkspaceTerms
 	// account holds what the attached attempts of its jobs reserve.
 	account *quota.Account
+	// configured is set once a configuration had the workspace, seenAt is when its first
+	// job was accepted.
+	configured bool
+	seenAt     time.Duration
+	// unknown bounds what may run of its inherited jobs on workers that have not answered.
+	unknown cairnbay.Resources
+	// withheld is the room in the part for replacements of long-running tasks, heldFor the
+	// gang for which the others are held back, both in the current plan.
+	withheld cairnbay.Resources
+	heldFor  *stage
+	// heldSince is since when its part has held back work that fits, 0 while it does not.
+	heldSince time.Duration
 }
 
 // SetWorkspaces replaces the terms of the workspaces. A workspace that is no longer
 // in the configuration keeps its last terms, since its accepted jobs run on.
 func (c *Core) SetWorkspaces(terms []WorkspaceTerms) {
 	for _, term := range terms {
-		c.workspace(term.Name).terms = term
+		known := c.workspace(term.Name)
+		known.terms, known.configured = term, true
 	}
+	c.termsKnown = true
 	c.changeCount++
 }
 
