--- a/internal/process/sched/quota_test.go
+++ b/internal/process/sched/quota_test.go
@@ -146,11 +146,14 @@
 		service.Steps[0].LongRunning = true
 		core.Accept(now, service, false)
 		Expect(starts(core.Plan(now))).To(Equal(4))
-		core.Accept(now, quotaJob("j", quotes, 4), false)
+		// The job can wait for nothing, so that it precedes the service by its priority.
+		pressing := quotes
+		pressing.Stretch, pressing.TargetLatency = 1, 100*time.Millisecond
+		core.Accept(now, quotaJob("j", pressing, 4), false)
 		core.HandleHold(now, "w", now.BootTime, cairnbay.AgentState{
 			Ended: []cairnbay.AgentEnd{end(1, task("service", 2), 1, cairnbay.AgentFailed)},
 		})
-		now.BootTime += 2 * time.Second
+		now.BootTime += 10 * time.Millisecond
 		core.Tick()
 		actions := core.Plan(now)
 		Expect(actions).To(HaveLen(1))
