allot: parts of quotas in the store, moved between owners

The package reads the divisions after the claim of a shard, at a revision not below that of the claim, creates those that are missing with equal parts, asks other owners for what the part of a workspace lacks for its waiting work, and serves such requests: the part is lowered in memory before the transaction. Use above a lowered quota is told to all other owners, which start nothing beside it, and covered by their unused parts. A part is the largest amount whose share, rounded down, is within it: with amounts rounded down one of three accelerators could not be used by any shard.

Wired into drive (Edit, Workspaces, OnQuotaHeld) and node.

--- a/internal/process/drive/drive.go
+++ b/internal/process/drive/drive.go
@@ -51,6 +51,11 @@
 	// EntryTTL is how long a worker stays on the platform's list after its last
 	// contact with the platform.
 	EntryTTL time.Duration
+	// Workspaces returns the terms of the workspaces at the start; later changes come with
+	// Edit. nil if the configuration has none. OnQuotaHeld is called after a plan that left
+	// work out because of its workspace's part, and must not block; nil for none.
+	Workspaces  func() []sched.WorkspaceTerms
+	OnQuotaHeld func()
 	// OnFenced is called once, after a worker has reported a newer owner; a journal
 	// write that fails with ErrFenced does not call it. It must not call Close,
 	// which waits for it.
@@ -167,6 +172,7 @@
 		Store: config.Store, Commit: config.Store.Commit, Shard: config.Claim.Shard,
 		Generation: config.Claim.Generation, Fence: config.Claim.Fence, Log: config.Log,
 	})
+	d.setWorkspaces()
 	d.done.Go(d.run)
 	return d
 }
@@ -469,7 +475,9 @@
 	}
 	d.countStarts(actions)
 	d.observeHeldStarts(now.BootTime)
+	quotaHeld := d.core.QuotaHeld()
 	d.mu.Unlock()
+	d.reportQuotaHeld(quotaHeld)
 	d.execute(actions)
 }
 
--- a/internal/process/drive/meters.go
+++ b/internal/process/drive/meters.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -74,6 +75,8 @@
 }
 
 func (m meters) submitted(verdict Verdict) {
+	// The detail of a reason names a workspace, which would make a series for each.
+	reason, _, _ := strings.Cut(verdict.Reason, reasonSeparator)
 	m.counter("cairnbay_submissions_total",
-		fmt.Sprintf(",verdict=%q,reason=%q", verdictName(verdict.Kind), verdict.Reason)).Inc()
+		fmt.Sprintf(",verdict=%q,reason=%q", verdictName(verdict.Kind), reason)).Inc()
 }
--- a/internal/process/drive/submit.go
+++ b/internal/process/drive/submit.go
@@ -20,6 +20,9 @@
 	reasonOverloaded   = "owner_overloaded"
 )
 
+// reasonSeparator stands between a reason and the detail that names what it is about.
+const reasonSeparator = ": "
+
 // Verdict is the answer to a submission.
 type Verdict struct {
 	// Kind is accepted, refused, uncertain or not_owner.
@@ -121,6 +124,9 @@
 	admission := d.core.Admit(now, workflow)
 	if !admission.Accept {
 		refused.Reason, refused.RetryAfter = admission.Reason, admission.RetryAfter
+		if admission.Detail != "" {
+			refused.Reason += reasonSeparator + admission.Detail
+		}
 		return refused, nil
 	}
 	if workflow.AcceptedUnixMS == 0 {
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -18,6 +18,7 @@
 
 	"cairnbay"
 	cairnbayv1 "cairnbay/gen/cairnbay/v1"
+	"cairnbay/internal/process/allot"
 	"cairnbay/internal/process/detour"
 	"cairnbay/internal/process/drive"
 	"cairnbay/internal/process/mirror"
@@ -107,6 +108,9 @@
 	stopProbes func()
 	background sync.WaitGroup
 
+	// adopting keeps the configurations in order that the owned shards adopt.
+	adopting sync.Mutex
+
 	mu sync.Mutex
 	// census is what this instance has seen of the workers of undivided classes.
 	census census
@@ -118,6 +122,7 @@
 type ownedShard struct {
 	drive   *drive.Drive
 	workers *workerList
+	quotas  *allot.Owner
 }
 
 const (
@@ -158,7 +163,7 @@
 func New(config Config) (*Node, error) {
 	n := &Node{config: config, directStore: config.Platform.Store, ownedShards: make(map[string]*ownedShard)}
 	n.relay = relay.New(relay.Config{
-		Client: config.MemberClient, Drive: n.drive, Advisor: config.Platform.Advisor,
+		Client: config.MemberClient, Drive: n.drive, Advisor: config.Platform.Advisor, Quota: n.giveQuota,
 		Store: func(ctx context.Context, call *cairnbayv1.StoreCall) *cairnbayv1.StoreAnswer {
 			return n.detour.Serve(ctx, call)
 		},
@@ -295,6 +300,7 @@
 		n.config.Log.WithFields(logrus.Fields{
 			"version": routing.Version, "queues": len(routing.Queues), "classes": routing.ServingClasses(),
 		}).Info("configuration adopted")
+		n.adoptWorkspaces()
 	}
 }
 
@@ -345,18 +351,23 @@
 	advise := func(ctx context.Context, action *sched.AdviseAction) ([]cairnbay.Ticket, error) {
 		return n.advicePool.Advise(ctx, action, n.position(claim.Shard))
 	}
+	quotas := n.newQuotas(claim)
 	shardDrive := drive.New(drive.Config{
 		Claim: claim, Store: n.config.Platform.Store, Agent: n.config.Platform.Agent,
 		Advise: advise, AdviceLimits: func() (int, int) { return n.advicePool.Limits(n.position(claim.Shard)) },
 		Clock: n.config.Clock, BootTime: timer.Boot, Log: n.config.Log, Metrics: n.config.Metrics,
 		Sched: n.config.Sched, Lease: n.config.Lease, MaxLease: n.config.MaxLease, EntryTTL: n.config.EntryTTL, MaxSegments: maxSegments, MaxGrowth: maxGrowth,
-		OnFenced: func() { n.background.Go(func() { n.tenure.Abandon(claim.Shard) }) },
+		OnFenced:   func() { n.background.Go(func() { n.tenure.Abandon(claim.Shard) }) },
+		Workspaces: quotas.Terms, OnQuotaHeld: quotas.Wake,
 	})
-	acquired := &ownedShard{drive: shardDrive, workers: newWorkerList(n, claim.Shard, shardDrive)}
+	quotas.Start(shardDrive)
+	acquired := &ownedShard{drive: shardDrive, workers: newWorkerList(n, claim.Shard, shardDrive), quotas: quotas}
 	n.mu.Lock()
 	previous := n.ownedShards[claim.Shard]
 	n.ownedShards[claim.Shard] = acquired
 	n.mu.Unlock()
+	// A configuration may have been adopted before the shard was in the map.
+	n.adoptWorkspaces()
 	if previous != nil {
 		n.background.Go(previous.close)
 	}
@@ -376,6 +387,7 @@
 
 func (o *ownedShard) close() {
 	o.workers.close()
+	o.quotas.Close()
 	o.drive.Close()
 }
 
--- a/internal/process/quota/machine_test.go
+++ b/internal/process/quota/machine_test.go
@@ -147,9 +147,18 @@
 	}
 }
 
+func (w *world) unfinished() bool {
+	for _, tasks := range w.tasks {
+		if slices.ContainsFunc(tasks, func(task *jobTask) bool { return !task.done }) {
+			return true
+		}
+	}
+	return false
+}
+
 // finish ends all faults and expects every task to run.
 func (w *world) finish() {
-	for range settlementRounds {
+	for round := 0; round < settlementRounds && (round == 0 || w.unfinished()); round++ {
 		for _, shard := range w.names {
 			o := w.latest(shard)
 			o.quota = w.quota
--- a/internal/process/quota/share.go
+++ b/internal/process/quota/share.go
@@ -10,11 +10,19 @@
 // Share is a part of a quota in millionths, by resource.
 type Share [cairnbay.Dimensions]int64
 
-// Of returns the part of a quota, rounded down.
+// Of returns the part of a quota: the largest amount whose share, rounded down, is within
+// s. Amounts of parts that sum to Whole exceed the quota by at most a millionth of it for
+// each part, and not at all where the quota times the number of parts is below Whole.
+// Rounding the amounts down instead would lose one of three accelerators, since two
+// thirds and one third are no whole millionths.
 func (s Share) Of(quota cairnbay.Resources) cairnbay.Resources {
 	amounts := quota.Values()
-	for i := range amounts {
-		amounts[i] = amounts[i] * s[i] / Whole
+	for i, limit := range amounts {
+		if s[i] <= 0 || limit <= 0 {
+			amounts[i] = 0
+			continue
+		}
+		amounts[i] = min(((s[i]+1)*limit-1)/Whole, limit)
 	}
 	return cairnbay.Resources{MilliCPU: amounts[0], MemoryMB: amounts[1], Accelerators: amounts[2]}
 }
@@ -25,7 +33,7 @@
 	amounts := amount.Values()
 	for i, limit := range quota.Values() {
 		if limit > 0 {
-			share[i] = (max(amounts[i], 0)*Whole + limit - 1) / limit
+			share[i] = max(amounts[i], 0) * Whole / limit
 		}
 	}
 	return share
--- a/internal/process/sched/quota.go
+++ b/internal/process/sched/quota.go
@@ -160,7 +160,7 @@
 // beginQuotaPlan prepares the workspaces for a plan.
 func (c *Core) beginQuotaPlan(now Moment) {
 	c.quotaHeld = false
-	if !c.termsKnown {
+	if !c.termsKnown || len(c.workspaces) == 0 {
 		return
 	}
 	c.updateUnknownUse()
@@ -223,6 +223,15 @@
 	return c.quotaHeld
 }
 
+// QuotaCharged returns what a workspace is known to have in use in this shard.
+func (c *Core) QuotaCharged(name string) cairnbay.Resources {
+	workspace := c.workspaces[name]
+	if workspace == nil {
+		return cairnbay.Resources{}
+	}
+	return workspace.account.Used
+}
+
 // QuotaUse returns what a workspace has in use in this shard, with the bound on what may
 // run unknown during recovery.
 func (c *Core) QuotaUse(name string) cairnbay.Resources {
--- a/internal/process/sched/workspace.go
+++ b/internal/process/sched/workspace.go
@@ -41,10 +41,13 @@
 func (c *Core) SetWorkspaces(terms []WorkspaceTerms) {
 	for _, term := range terms {
 		known := c.workspace(term.Name)
+		if known.configured && known.terms == term {
+			continue
+		}
 		known.terms, known.configured = term, true
+		c.changeCount++
 	}
 	c.termsKnown = true
-	c.changeCount++
 }
 
 // workspace returns the workspace with a name, without terms if it is not known; nil
