--- a/internal/process/drive/submit.go
+++ b/internal/process/drive/submit.go
@@ -22,6 +22,9 @@
 	reasonOtherWorkspace = "id_of_another_workspace"
 )
 
+// reasonSeparator stands between a reason and the detail that names what it is about.
+const reasonSeparator = ": "
+
 // Verdict is the answer to a submission.
 type Verdict struct {
 	// Kind is accepted, refused, uncertain, not_owner or conflict.
@@ -129,6 +132,9 @@
 	admission := d.core.Admit(now, workflow)
 	if !admission.Accept {
 		refused.Reason, refused.RetryAfter = admission.Reason, admission.RetryAfter
+		if admission.Detail != "" {
+			refused.Reason += reasonSeparator + admission.Detail
+		}
 		return refused, nil
 	}
 	if workflow.AcceptedUnixMS == 0 {
