--- a/internal/process/place/engine.go
+++ b/internal/process/place/engine.go
@@ -66,7 +66,7 @@
 	// reservationCursor is the slot that was searched last for a reservation.
 	reservationCursor int
 	faults            *fault.Detector
-	runTimes          *learn.Table
+	runTimes          *learn.Model
 	// probation holds the workers that run one probe task at a time.
 	probation []*worker
 	// stopping holds the runs whose end was requested, throttledRuns those
--- a/internal/process/place/enqueue.go
+++ b/internal/process/place/enqueue.go
@@ -196,7 +196,7 @@
 	if target.group == nil {
 		// The policy orders queued jobs by run time, so the estimate changes only
 		// while the job is outside the heap.
-		target.expectedRunTime = e.runTimes.Estimate(target.learnKey(), target.spec.RunTime)
+		target.expectedRunTime = e.expectedRunTime(target)
 	}
 	e.updateQueue(target, now)
 }
@@ -222,8 +222,26 @@
 	e.queue.add(changed, key)
 }
 
-func (j *job) learnKey() learn.Key {
-	return learn.Key{Branch: j.spec.Branch, Command: j.spec.Command}
+// undeclaredRunTime is what the run times of a job that declares none are relative to.
+const undeclaredRunTime = time.Second
+
+// learnKind is the kind of the job's tasks and the time that their run times are relative
+// to. Jobs that declare no run time are kinds of their own.
+func (j *job) learnKind() (kind learn.Kind, reference time.Duration) {
+	if j.spec.RunTime <= 0 {
+		return learn.Kind{Queue: j.spec.Branch, Image: j.spec.Command}, undeclaredRunTime
+	}
+	return learn.Kind{Queue: j.spec.Branch, Image: j.spec.Command, Width: 1}, j.spec.RunTime
+}
+
+// expectedRunTime is the predicted run time of a job's tasks; the declared one while none
+// has finished.
+func (e *Engine) expectedRunTime(target *job) time.Duration {
+	kind, reference := target.learnKind()
+	if target.spec.RunTime <= 0 && !e.runTimes.Knows(kind) {
+		return target.spec.RunTime
+	}
+	return e.runTimes.Predict(kind, nil, nil, reference).Median
 }
 
 func shapeOf(pending *job) shapeKey {
--- a/internal/process/place/events.go
+++ b/internal/process/place/events.go
@@ -148,7 +148,8 @@
 	switch end.Reason {
 	case cairnbay.EndDone:
 		owner.setState(ended.index, cairnbay.TaskDone)
-		e.runTimes.Observe(owner.learnKey(), end.RanFor)
+		kind, reference := owner.learnKind()
+		e.runTimes.Observe(kind, reference, end.RanFor)
 		e.observe(ended, false, now)
 		owner.pauseCount = 0
 	case cairnbay.EndFailed:
