sched: place, order, reserve and admit by learned run times, each by a switch

Cause: a quarter of the workers of a class runs at 0.55 and the rest at 1.2 times the usual speed, and stages were placed on either alike, so that one task on a slow worker made an interactive job late.

Change: stages with little slack take fast workers first, also among those that the policy service is asked about, and wait up to 0.5 s for one that is busy if they end sooner there; patient ones leave the fast ones free; gangs go to workers of similar speed. Slack, ends in reservations, the expected wait at admission and the choice of preempted tasks follow from the model.

--- a/internal/fake/agent/agent.go
+++ b/internal/fake/agent/agent.go
@@ -21,6 +21,9 @@
 	Now func() time.Duration
 	// RunTime is how long a task runs, by its step.
 	RunTime func(task cairnbay.WorkflowTask) time.Duration
+	// Slowness is the factor by which a task that starts now takes longer on a worker,
+	// by its name; nil for 1.
+	Slowness func(worker string) float64
 	// Fails says whether an attempt ends failed; nil for never.
 	Fails func(task cairnbay.WorkflowTask, attempt int) bool
 	// Size is what a task takes.
@@ -372,7 +375,7 @@
 	replaced := w.running[order.Task].gang
 	one := run{attempt: order.Attempt, started: now, gang: f.join(target.Worker, w, order, now)}
 	if one.gang == nil {
-		one.began, one.ends = now, now+f.config.RunTime(order.Task)
+		one.began, one.ends = now, now+f.runTime(w, order.Task)
 	}
 	w.running[order.Task] = one
 	w.sorted = nil
@@ -383,6 +386,14 @@
 	return nil
 }
 
+// runTime is how long a task runs on a worker.
+func (f *Fleet) runTime(on *worker, task cairnbay.WorkflowTask) time.Duration {
+	if f.config.Slowness == nil {
+		return f.config.RunTime(task)
+	}
+	return time.Duration(float64(f.config.RunTime(task)) * f.config.Slowness(on.address))
+}
+
 // judge notes what a start breaks.
 func (f *Fleet) judge(on *worker, target cairnbay.AgentTarget, order cairnbay.AgentStart) {
 	if f.done[order.Task] {
--- a/internal/fake/agent/gang.go
+++ b/internal/fake/agent/gang.go
@@ -87,8 +87,8 @@
 	joined.members = append(joined.members, member{id, w, order.Task})
 	if present := joined.present(); !joined.complete && len(present) == size {
 		joined.complete, joined.works = true, now
-		for _, task := range present {
-			joined.ends = max(joined.ends, now+f.config.RunTime(task))
+		for _, one := range joined.members {
+			joined.ends = max(joined.ends, now+f.runTime(one.worker, one.task))
 		}
 	}
 	return joined
--- a/internal/process/learn/model.go
+++ b/internal/process/learn/model.go
@@ -217,8 +217,7 @@
 }
 
 const (
-	// minKnownWorkers is the number of workers that must be known for a comparison, beside
-	// half of all.
+	// minKnownWorkers is the number of workers that must be known for a comparison.
 	minKnownWorkers = 4
 	// minSpread is the difference of the quarters from which it matters, 10 %.
 	minSpread = 0.0953
@@ -249,7 +248,7 @@
 		return
 	}
 	m.meanSlowness = total / float64(len(m.listed))
-	if len(known) < minKnownWorkers || 2*len(known) < len(m.listed) {
+	if len(known) < minKnownWorkers {
 		return
 	}
 	slices.Sort(known)
--- a/internal/process/learn/worker.go
+++ b/internal/process/learn/worker.go
@@ -37,6 +37,8 @@
 	// priorSlowness is the variance of the slowness of workers before any run: a quarter of
 	// the workers at 0.55 and the others at 1.2 times the usual speed.
 	priorSlowness = 0.12
+	// certainVariance is that of an error of 15 %.
+	certainVariance = 0.0225
 	// maxWeight bounds the weight of folded runs, to about those of the last 20.
 	maxWeight = 400.0
 	// outlierScore bounds the deviation with which a run counts, in standard deviations.
@@ -69,6 +71,11 @@
 	return w.known()
 }
 
+// Certain reports whether the slowness is known to about 15 %.
+func (w *Worker) Certain() bool {
+	return w.variance < certainVariance
+}
+
 // Disturbed reports whether the worker is much slower than usual.
 func (w *Worker) Disturbed() bool {
 	return w.disturbedBy > 0
--- a/internal/process/sched/accept.go
+++ b/internal/process/sched/accept.go
@@ -189,9 +189,11 @@
 // considered.
 func (c *Core) updateDeadline(job *job) {
 	job.criticalPath = criticalPath(job.workflow.Steps, func(step int) time.Duration {
-		spec := &job.workflow.Steps[step]
-		declared := c.runTime(job.workflow.Queue.Name, spec)
+		declared := c.expectedStepRunTime(c.config.Learn.Order, &job.workflow, step)
 		stage := job.stages[stageKey{0, step}]
+		if c.config.Learn.Order && stage != nil && stage.runs != nil {
+			declared = c.predictRunTime(stage, nil).Median
+		}
 		switch {
 		case stage == nil || stage.longestRunTime == 0:
 			return declared
@@ -207,7 +209,7 @@
 // criticalPath is the estimated run time of the longest chain of steps.
 func (c *Core) criticalPath(workflow *cairnbay.Workflow) time.Duration {
 	return criticalPath(workflow.Steps, func(step int) time.Duration {
-		return c.runTime(workflow.Queue.Name, &workflow.Steps[step])
+		return c.expectedStepRunTime(c.config.Learn.Admit, workflow, step)
 	})
 }
 
--- a/internal/process/sched/advice.go
+++ b/internal/process/sched/advice.go
@@ -137,10 +137,12 @@
 }
 
 // sortByFit sorts workers by the number of the stage's tasks that fit, most
-// first.
+// first. For a stage with little slack, fast workers come first among those on which any
+// fits.
 func (c *Core) sortByFit(stage *stage, workers []*worker) {
 	slices.SortFunc(workers, func(a, b *worker) int {
 		return cmp.Or(
+			c.compareSpeed(stage, a, b),
 			-cmp.Compare(a.fitCount(stage.spec), b.fitCount(stage.spec)),
 			cmp.Compare(a.entry.ID, b.entry.ID),
 		)
@@ -185,9 +187,16 @@
 			return indefinite
 		}
 		for i := range predecessor.tasks {
-			if attempt := predecessor.tasks[i].attempt; attempt != nil {
-				longest = max(longest, c.remainingTime(now, attempt))
+			attempt := predecessor.tasks[i].attempt
+			if attempt == nil {
+				continue
+			}
+			if predecessor.spec.LongRunning {
+				return indefinite
 			}
+			// The estimate of the queue is used, whatever is learned: a call later than by it
+			// would be too recent to be repeated when the step is ready.
+			longest = max(longest, attempt.remaining(now, c.runTime(stage.job.workflow.Queue.Name, predecessor.spec)))
 		}
 	}
 	return longest
--- a/internal/process/sched/job.go
+++ b/internal/process/sched/job.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cairnbay"
+	"cairnbay/internal/process/learn"
 )
 
 // job is one accepted workflow.
@@ -71,6 +72,14 @@
 	// last yielded no action. The stage is skipped until the count grows.
 	blockedAtChange   uint64
 	attemptsPerWorker map[string]int
+	// runs holds the learned run times of the stage, nil before the first.
+	runs *learn.Stage
+	// speedWeight is set before the stage is placed, see Core.speedWeight.
+	speedWeight float64
+	// fasterSince is when a task first waited for a faster worker, 0 for never.
+	// waitingForFaster counts those that did when the stage was last placed.
+	fasterSince      time.Duration
+	waitingForFaster int
 }
 
 // task is one task of a stage.
@@ -85,8 +94,11 @@
 	crashes  *crashHistory
 	// failedOn is the worker of the last failure or stall. Other workers are
 	// preferred.
-	failedOn   string
-	checkpoint string
+	failedOn string
+	// usualWorker is where the next attempt would be placed if speed did not matter; empty
+	// for the same worker.
+	usualWorker string
+	checkpoint  string
 	// restarts counts the ends of a long-running task since its last run of
 	// more than stableRunTime. notBefore is the earliest time of the next
 	// start.
@@ -152,8 +164,12 @@
 
 // markEnded marks the job as ended, which prevents further starts.
 func (j *job) markEnded(now Moment) {
-	if !j.ended {
-		j.ended, j.endedAt = true, now.BootTime
+	if j.ended {
+		return
+	}
+	j.ended, j.endedAt = true, now.BootTime
+	for _, stage := range j.stages {
+		stage.closeRuns()
 	}
 }
 
--- a/internal/process/sched/place.go
+++ b/internal/process/sched/place.go
@@ -14,6 +14,7 @@
 // or for a whole gang or none of it.
 func (c *Core) place(now Moment, stage *stage, reservations gangReservations, allowed func(*worker) bool) []*attempt {
 	size := demand(stage.spec)
+	stage.speedWeight = c.speedWeight(now, stage)
 	candidates := c.candidates(now, stage, reservations, func(w *worker) bool { return size.Fits(w.free()) && allowed(w) })
 	if len(candidates) == 0 {
 		return nil
@@ -22,6 +23,8 @@
 		return c.placeGang(now, stage, candidates)
 	}
 	var placed []*attempt
+	stage.waitingForFaster = 0
+	faster := c.fasterWorkers(now, stage, reservations, allowed)
 	for i := range stage.tasks {
 		task := &stage.tasks[i]
 		if task.done || task.attempt != nil || task.notBefore > now.BootTime {
@@ -37,6 +40,11 @@
 		if target == nil {
 			break
 		}
+		if c.endsSooner(now, stage, target, faster) {
+			faster = faster[1:]
+			stage.waitingForFaster++
+			continue
+		}
 		placed = append(placed, c.reserve(now, stage, task, target, max(task.lastAttempt, c.config.AttemptBase)+1))
 	}
 	return placed
@@ -55,6 +63,9 @@
 		if !worker.usable() || worker.trials > 0 || worker.backoffUntil > now.BootTime || !allowed(worker) || !worker.canRun(stage.spec) {
 			continue
 		}
+		if len(reservations) > 0 && c.config.Learn.Reserve && !stage.spec.LongRunning {
+			endsAt = now.BootTime + c.runTimeOn(stage, worker)
+		}
 		if reservations.blocks(stage, worker.entry.ID, endsAt) {
 			continue
 		}
@@ -81,7 +92,7 @@
 	if c.needsTrial(stage, &stage.tasks[0]) {
 		candidates = c.trialGroup(stage, candidates)
 	}
-	groups := [][]*worker{candidates}
+	groups := c.speedGroups(stage, candidates)
 	if stage.spec.SameRack {
 		groups = append(byRack(candidates), candidates)
 	}
@@ -160,8 +171,8 @@
 // chooseWorker returns the worker with the lowest placement cost, nil if the
 // task fits on none.
 func (c *Core) chooseWorker(stage *stage, task *task, candidates []*worker) *worker {
-	var best *worker
-	lowest := 0.0
+	var best, usual *worker
+	lowest, usualLowest := 0.0, 0.0
 	size := demand(stage.spec)
 	_, risky := c.queueRisks[stage.job.workflow.Queue.Name]
 	for _, worker := range candidates {
@@ -181,10 +192,18 @@
 		if risky {
 			cost += otherJobCost * float64(worker.otherJobs(stage.job))
 		}
+		if usual == nil || cost < usualLowest || cost == usualLowest && worker.entry.ID < usual.entry.ID {
+			usual, usualLowest = worker, cost
+		}
+		cost += c.placementSpeedCost(stage, worker)
 		if best == nil || cost < lowest || cost == lowest && worker.entry.ID < best.entry.ID {
 			best, lowest = worker, cost
 		}
 	}
+	task.usualWorker = ""
+	if best != usual {
+		task.usualWorker = usual.entry.ID
+	}
 	return best
 }
 
@@ -220,15 +239,20 @@
 	if a.stage == nil || a.stage.spec.LongRunning {
 		return indefinite
 	}
+	return a.remaining(now, c.runTimeOn(a.stage, a.worker))
+}
+
+// remaining estimates how much longer an attempt runs, by its progress or by the run time
+// that was expected.
+func (a *attempt) remaining(now Moment, expected time.Duration) time.Duration {
 	if a.phase != phaseRunning {
-		return c.runTime(a.stage.job.workflow.Queue.Name, a.stage.spec)
+		return expected
 	}
 	elapsed := now.BootTime - a.startedAt
 	if a.percent >= minPredictivePercent && a.percentAt > a.startedAt {
-		predicted := time.Duration(float64(a.percentAt-a.startedAt) * 100 / float64(a.percent))
-		return max(predicted-elapsed, 0)
+		expected = time.Duration(float64(a.percentAt-a.startedAt) * 100 / float64(a.percent))
 	}
-	return max(c.runTime(a.stage.job.workflow.Queue.Name, a.stage.spec)-elapsed, 0)
+	return max(expected-elapsed, 0)
 }
 
 const (
--- a/internal/process/sched/plan.go
+++ b/internal/process/sched/plan.go
@@ -28,6 +28,9 @@
 	Waited time.Duration
 	// Trial is set for a suspect of a crash, see beginTrial.
 	Trial bool
+	// UsualWorker is where the attempt would have started if the speed of workers did not
+	// matter; empty for the same worker.
+	UsualWorker string
 }
 
 // StopAction stops an attempt.
@@ -70,6 +73,9 @@
 
 // Plan returns the actions that are due now.
 func (c *Core) Plan(now Moment) []Action {
+	if c.ticked {
+		c.updateLearned(now)
+	}
 	c.createDueOccurrences(now)
 	drains := c.planDrains(now)
 	actions := append(c.planStops(now), drains...)
@@ -199,7 +205,7 @@
 	if stage.spec.LongRunning || job.workflow.Occurrences > 0 {
 		return urgencyInTime
 	}
-	slack := job.deadline - now.BootTime - c.runTime(job.workflow.Queue.Name, stage.spec)
+	slack := job.deadline - now.BootTime - c.expectedRunTime(c.config.Learn.Order, stage)
 	objective := LatencyObjective(job.workflow.Queue, job.criticalPath)
 	switch {
 	case slack-c.gangLead(stage) > max(time.Duration(patientShare*float64(objective)), backlogFactor*c.backlog):
@@ -314,6 +320,7 @@
 			Target: attempt.worker.target(), Task: attempt.ref, Attempt: attempt.number,
 			Payload: stage.job.workflow.Payload, Checkpoint: attempt.task.checkpoint, Ticket: ticket,
 			Waited: now.BootTime - stage.job.acceptedAt, Trial: attempt.trialWeight > 0,
+			UsualWorker: attempt.task.usualWorker,
 		}})
 	}
 	return actions
--- a/internal/process/sched/preempt.go
+++ b/internal/process/sched/preempt.go
@@ -26,7 +26,7 @@
 	if stage.spec.Gang || c.urgency(now, stage) != urgencyInTime {
 		return
 	}
-	wanted := stage.waiting - c.waitingSuspects(stage) - c.pendingPreemptions(now, stage)
+	wanted := stage.waiting - stage.waitingForFaster - c.waitingSuspects(stage) - c.pendingPreemptions(now, stage)
 	if wanted <= 0 {
 		return
 	}
@@ -58,12 +58,15 @@
 	return count
 }
 
-// choosePreemption returns the worker on which the fewest tasks must stop, nil
-// if waiting is as fast.
+// choosePreemption returns the worker on which the fewest tasks must stop, and among
+// those the one on which the least work is lost by it; nil if waiting is as fast.
 func (c *Core) choosePreemption(now Moment, stage *stage, allowed []*worker) (target *worker, victims []*attempt) {
 	for _, worker := range allowed {
 		attempts := c.victims(now, stage, worker)
-		if attempts == nil || target != nil && len(attempts) >= len(victims) {
+		if attempts == nil || target != nil && len(attempts) > len(victims) {
+			continue
+		}
+		if target != nil && len(attempts) == len(victims) && (!c.config.Learn.Reserve || lostWork(now, attempts) >= lostWork(now, victims)) {
 			continue
 		}
 		target, victims = worker, attempts
@@ -71,6 +74,15 @@
 	return target, victims
 }
 
+// lostWork is what stops of attempts discard: the time since each last saved its
+// progress.
+func lostWork(now Moment, attempts []*attempt) (lost time.Duration) {
+	for _, attempt := range attempts {
+		lost += now.BootTime - max(attempt.startedAt, attempt.savedAt)
+	}
+	return lost
+}
+
 // victims lists the fewest attempts to preempt on a worker for one task. It is
 // nil if they free too little, or if the task fits soon without preemption.
 func (c *Core) victims(now Moment, stage *stage, target *worker) []*attempt {
--- a/internal/process/sched/result.go
+++ b/internal/process/sched/result.go
@@ -211,9 +211,13 @@
 	}
 	if running.Percent != a.percent {
 		a.percent, a.percentAt = running.Percent, now.BootTime
+		c.observeProgress(now, a)
 	}
 	c.checkProgress(now, a)
 	if a.task != nil {
+		if running.Checkpoint != "" && running.Checkpoint != a.task.checkpoint {
+			a.savedAt = now.BootTime
+		}
 		a.stage.saveCheckpoint(a.task, running.Attempt, running.Checkpoint)
 	}
 	return c.proveAttempt(now, a)
@@ -358,7 +362,7 @@
 	if a != nil && a.startedAt > 0 && !a.partial && !stage.spec.BestEffort {
 		ran := now.BootTime - a.startedAt
 		c.observeRunTime(stage.job.workflow.Queue.Name, stage.spec.RunTime, ran)
-		stage.longestRunTime = max(stage.longestRunTime, ran)
+		stage.longestRunTime = max(stage.longestRunTime, c.observeDone(now, a, ran))
 	}
 	record := Record{Kind: RecordDone, Task: stage.ref(task.index), Attempt: number}
 	if stage.spec.Gang {
@@ -370,6 +374,9 @@
 			c.stop(other, CauseDone)
 		}
 	}
+	if stage.done == len(stage.tasks) {
+		stage.closeRuns()
+	}
 	c.updateDeadline(stage.job)
 	stage.job.unwritten++
 	stage.job.endIfComplete(now)
--- a/internal/process/sched/sched.go
+++ b/internal/process/sched/sched.go
@@ -34,6 +34,8 @@
 	Retention time.Duration
 	// StopTime is how long a worker takes to stop a task.
 	StopTime time.Duration
+	// Learn says which decisions use learned run times.
+	Learn LearnUses
 }
 
 // Core is the scheduling state of one class. It is not safe for concurrent use.
@@ -56,6 +58,7 @@
 	// changeCount counts events that may let a blocked stage place tasks.
 	changeCount   uint64
 	runTimeRatios map[string]*runTimeRatio
+	learned       learnedRunTimes
 	// backlog is the time that the class takes for the tasks that waited at the
 	// last tick.
 	backlog time.Duration
@@ -101,6 +104,7 @@
 		readyStages:   make(map[*stage]struct{}),
 		adviceCalls:   make(map[cairnbay.WorkflowTask]*stage),
 		runTimeRatios: make(map[string]*runTimeRatio),
+		learned:       newLearnedRunTimes(),
 		queueRisks:    make(map[string]*queueRisk),
 		crashes:       make(map[string]*crash),
 		workspaces:    make(map[string]*workspace),
--- a/internal/process/sched/simulation_test.go
+++ b/internal/process/sched/simulation_test.go
@@ -5,11 +5,13 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -66,6 +68,12 @@
 	deadly func(task cairnbay.WorkflowTask) bool
 	// crashAfter is the time from the start of a deadly task to the crash of its worker.
 	crashAfter time.Duration
+	// slowness is the factor by which tasks take longer on a worker; nil for 1. noise is
+	// the deviation of the run times of one step, in logarithms.
+	slowness func(worker string) float64
+	noise    float64
+	// onStart is called with each start, if it is set.
+	onStart func(*sched.StartAction)
 	// eachStep is called before each step of the simulation, if it is set.
 	eachStep func()
 }
@@ -86,7 +94,13 @@
 	sim.fleet = agent.New(agent.Config{
 		Now: func() time.Duration { return sim.now },
 		RunTime: func(task cairnbay.WorkflowTask) time.Duration {
-			return sim.runTimes[task.Job][task.Step]
+			return sim.runTime(task)
+		},
+		Slowness: func(worker string) float64 {
+			if sim.slowness == nil {
+				return 1
+			}
+			return sim.slowness(worker)
 		},
 		Size: func(task cairnbay.WorkflowTask) cairnbay.Resources {
 			return sim.jobs[task.Job].Steps[task.Step].Size
@@ -106,6 +120,17 @@
 	return sim
 }
 
+// runTime is the true run time of a task on a worker of the usual speed, which depends
+// only on the task.
+func (sim *simulation) runTime(task cairnbay.WorkflowTask) time.Duration {
+	usual := sim.runTimes[task.Job][task.Step]
+	if sim.noise == 0 {
+		return usual
+	}
+	random := rand.New(rand.NewPCG(xxhash.Sum64String(task.Job), uint64(task.Step*1000+task.Index)))
+	return time.Duration(float64(usual) * math.Exp(sim.noise*random.NormFloat64()))
+}
+
 func (sim *simulation) moment() sched.Moment {
 	return sched.Moment{BootTime: sim.now, UnixMS: sim.now.Milliseconds()}
 }
@@ -161,6 +186,9 @@
 	for _, action := range actions {
 		switch {
 		case action.Start != nil:
+			if sim.onStart != nil {
+				sim.onStart(action.Start)
+			}
 			clock, err := sim.fleet.Start(ctx, action.Start.Target, cairnbay.AgentStart{
 				Task: action.Start.Task, Attempt: action.Start.Attempt, LeaseEnd: sim.now + lease, Token: token,
 			})
--- a/internal/process/sched/worker.go
+++ b/internal/process/sched/worker.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"cairnbay"
+	"cairnbay/internal/process/learn"
 )
 
 // worker is one run of a worker process; the run after a restart is another worker.
@@ -42,6 +43,8 @@
 	trials int
 	// clock is the worker's clock in its latest answer.
 	clock time.Duration
+	// speed is what is known of the worker's speed, nil if nothing is learned.
+	speed *learn.Worker
 }
 
 // phase is the state of an attempt.
@@ -87,6 +90,8 @@
 	// percent is the last reported progress, percentAt when it changed.
 	percent   int
 	percentAt time.Duration
+	// savedAt is when the worker last reported a new checkpoint, 0 for never.
+	savedAt time.Duration
 	// stopCause is why the attempt is being stopped, empty while it is not.
 	stopCause EndCause
 	// stopSentAt is when the last stop was sent, stopAnsweredAt when one was
@@ -172,6 +177,7 @@
 	}
 	delete(w.attempts, a.ref)
 	w.used = w.used.Sub(a.size)
+	a.dropRun()
 	c.endTrial(a)
 	if a.phase != phaseReserved {
 		c.changeCount++
@@ -221,6 +227,7 @@
 	}
 	existing.entry = entry
 	existing.listed = true
+	c.addSpeed(existing)
 	c.changeCount++
 }
 
@@ -315,5 +322,6 @@
 	delete(c.workers, id)
 	index, _ := c.position(id)
 	c.sortedWorkers = slices.Delete(c.sortedWorkers, index, index+1)
+	c.removeSpeed(lostWorker)
 	return loss
 }
