drive: pass learned run times to the next owner; the flag -learn; metrics

An owner started from declared run times after each change of owner. Starts count what their prediction is based on, ends the ratio of actual to predicted run time by queue, and a debug line names a placement that the speed of workers has changed.

--- a/internal/process/drive/compact.go
+++ b/internal/process/drive/compact.go
@@ -36,6 +36,7 @@
 	for _, id := range d.core.RemoveExpired(d.now()) {
 		d.config.Log.WithField("job", id).Info("expired job removed")
 	}
+	d.journalLearned()
 	segmentsBefore := d.writer.Segments()
 	if d.compacting || len(d.pending) > 0 || d.pendingCancels > 0 {
 		return
@@ -81,6 +82,7 @@
 	if d.settled > 0 {
 		records = append(records, &cairnbayv1.WorkRecord{Settled: d.settled})
 	}
+	records = append(records, d.learnedRecords(d.core.LearnedState())...)
 	links := slices.Collect(maps.Values(d.links))
 	for _, known := range d.lineages {
 		links = append(links, known.former...)
--- a/internal/process/drive/drive.go
+++ b/internal/process/drive/drive.go
@@ -122,6 +122,7 @@
 	// inheritedEndAt is the boot time at which the leases of inherited workers have
 	// certainly ended; 0 while it is not known.
 	inheritedEndAt time.Duration
+	learned        journaledRunTimes
 }
 
 const (
@@ -267,6 +268,8 @@
 			delete(workers, rec.GetReleased())
 		case rec.GetSettled() > 0:
 			d.settled = rec.GetSettled()
+		case rec.GetLearned() != nil:
+			d.restoreLearned(rec.GetLearned())
 		case rec.GetEnded() != nil:
 			d.core.RestoreEnded(now, rec.GetEnded().GetId(), cairnbay.WorkflowState(rec.GetEnded().GetState()))
 		}
--- a/internal/process/drive/drive_test.go
+++ b/internal/process/drive/drive_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"github.com/sirupsen/logrus"
@@ -56,8 +57,10 @@
 	// maxSegments and maxGrowth are the number of segments and the bytes of growth
 	// from which owners rewrite the journal.
 	maxSegments, maxGrowth int
-	// lease is the lease that owners grant.
-	lease time.Duration
+	// lease, learn and metrics are those of the owners.
+	lease   time.Duration
+	learn   sched.LearnUses
+	metrics *metrics.Set
 
 	// runTime is how long each task runs, in nanoseconds.
 	runTime atomic.Int64
@@ -105,12 +108,9 @@
 	owner := drive.New(drive.Config{
 		Claim: tenure.Claim{Shard: class, Token: uint64(revision), Generation: c.generation, Fence: c.fence, ClaimedAt: timer.Boot(), AfterRestart: c.afterRestart, StoreHealthyFor: time.Hour},
 		Store: c.store, Agent: cmp.Or[cairnbay.Agent](c.agent, c.fleet), Clock: c.clock, BootTime: timer.Boot, Log: c.log, Lease: c.lease, MaxLease: maxWorkerLease, EntryTTL: 4500 * time.Millisecond,
-		AdviceLimits: func() (int, int) { return 4, 4 },
-		Advise:       c.advise,
-		MaxSegments:  c.maxSegments,
-		MaxGrowth:    c.maxGrowth,
-		Sched:        sched.Config{Retention: time.Minute, StopTime: 50 * time.Millisecond},
-		OnFenced:     func() {},
+		AdviceLimits: func() (int, int) { return 4, 4 }, Advise: c.advise,
+		MaxSegments: c.maxSegments, MaxGrowth: c.maxGrowth, Metrics: c.metrics, OnFenced: func() {},
+		Sched: sched.Config{Retention: time.Minute, StopTime: 50 * time.Millisecond, Learn: c.learn},
 	})
 	owner.SetWorkers(c.entries())
 	return owner
@@ -167,8 +167,7 @@
 
 // accept submits a job until it is accepted.
 func (c *cluster) accept(owner *drive.Drive, id string) {
-	Eventually(func() cairnbayv1.SubmitVerdict { return submit(owner, job(id, 3), time.Second) }, "10s", "20ms").
-		Should(Equal(accepted))
+	Eventually(func() cairnbayv1.SubmitVerdict { return submit(owner, job(id, 3), time.Second) }, "10s", "20ms").Should(Equal(accepted))
 }
 
 // acceptWide submits a job of ten tasks, of which a worker runs at most four, and
--- a/internal/process/drive/link.go
+++ b/internal/process/drive/link.go
@@ -435,6 +435,7 @@
 	}
 	for _, ended := range result.Ends {
 		d.meters.attemptEnded(ended.End.Reason)
+		d.meters.reportRunTime(ended)
 		if ended.Incomplete != "" {
 			d.meters.gangIncomplete(ended.Incomplete)
 			d.config.Log.WithFields(logrus.Fields{
--- a/internal/process/drive/orders.go
+++ b/internal/process/drive/orders.go
@@ -127,6 +127,7 @@
 	for _, action := range actions {
 		if action.Start != nil {
 			d.pacer.inFlight++
+			d.reportPrediction(action.Start)
 		}
 	}
 }
--- a/internal/process/sched/learned.go
+++ b/internal/process/sched/learned.go
@@ -41,6 +41,21 @@
 	return c.learned.model.Slowness(w.speed)
 }
 
+// predictStart sets the prediction in the order for an attempt.
+func (c *Core) predictStart(a *attempt, start *StartAction) {
+	if !c.config.Learn.Any() || a.stage.spec.LongRunning {
+		return
+	}
+	a.predicted = c.predictRunTime(a.stage, a.worker).Median
+	start.Predicted, start.PredictedFrom = a.predicted, "declared"
+	switch {
+	case a.stage.runs != nil && a.stage.runs.Known():
+		start.PredictedFrom = "step"
+	case c.learned.model.Knows(kindOf(a.stage.job.workflow.Queue.Name, a.stage.spec)):
+		start.PredictedFrom = "kind"
+	}
+}
+
 // expectedRunTime is the estimated run time of a stage's task, by the model if use is set.
 func (c *Core) expectedRunTime(use bool, stage *stage) time.Duration {
 	if use {
--- a/internal/process/sched/plan.go
+++ b/internal/process/sched/plan.go
@@ -31,6 +31,11 @@
 	// UsualWorker is where the attempt would have started if the speed of workers did not
 	// matter; empty for the same worker.
 	UsualWorker string
+	// Predicted is the predicted run time there, and PredictedFrom what it is based on:
+	// "step" for other tasks of the step, "kind" for earlier steps of the kind, "declared"
+	// for none; empty without learned run times.
+	Predicted     time.Duration
+	PredictedFrom string
 }
 
 // StopAction stops an attempt.
@@ -322,6 +327,7 @@
 			Waited: now.BootTime - stage.job.acceptedAt, Trial: attempt.trialWeight > 0,
 			UsualWorker: attempt.task.usualWorker,
 		}})
+		c.predictStart(attempt, actions[len(actions)-1].Start)
 	}
 	return actions
 }
--- a/internal/process/sched/result.go
+++ b/internal/process/sched/result.go
@@ -137,6 +137,10 @@
 	End cairnbay.AgentEnd
 	// RunTime is how long the attempt ran, 0 if unknown.
 	RunTime time.Duration
+	// Predicted is the run time that was predicted at the start, 0 unless the attempt
+	// completed its task as a whole. Queue is the queue of the job.
+	Predicted time.Duration
+	Queue     string
 	// JobKnown is set if the core has the job and the job has the task.
 	JobKnown bool
 	// Incomplete is why the gang was incomplete, empty unless the attempt ended with
@@ -330,6 +334,10 @@
 	job.started = true
 	task := stage.task(end.Task.Index)
 	task.lastAttempt = max(task.lastAttempt, end.Attempt)
+	attemptEnd.Queue = job.workflow.Queue.Name
+	if a != nil && end.Reason == cairnbay.AgentDone && !a.partial {
+		attemptEnd.Predicted = a.predicted
+	}
 	var records []Record
 	switch end.Reason {
 	case cairnbay.AgentDone:
--- a/internal/process/sched/worker.go
+++ b/internal/process/sched/worker.go
@@ -92,6 +92,8 @@
 	percentAt time.Duration
 	// savedAt is when the worker last reported a new checkpoint, 0 for never.
 	savedAt time.Duration
+	// predicted is the predicted run time, 0 for none.
+	predicted time.Duration
 	// stopCause is why the attempt is being stopped, empty while it is not.
 	stopCause EndCause
 	// stopSentAt is when the last stop was sent, stopAnsweredAt when one was
--- a/internal/tool/serve/node.go
+++ b/internal/tool/serve/node.go
@@ -66,6 +66,7 @@
 			path := flags.String("settings", streams.Getenv(platform.SettingsVariable), "path of the platform's settings `file`")
 			check := flags.Bool("check", false, "check the settings and exit")
 			level := flags.String("log-level", "info", "lowest `level` logged: info has a line for each decision, warning only what went wrong")
+			learned := flags.String("learn", sched.AllLearnUses.String(), "`uses` of learned run times, separated by commas; empty for none")
 			return func(ctx context.Context, arguments []string) error {
 				if len(arguments) > 0 {
 					return errors.Annotatef(shell.ErrUsage, "argument %q is not expected", arguments[0])
@@ -81,16 +82,20 @@
 				if err != nil {
 					return errors.Annotatef(shell.ErrUsage, "-log-level: %v", err)
 				}
+				uses, err := sched.ParseLearnUses(*learned)
+				if err != nil {
+					return errors.Annotatef(shell.ErrUsage, "-learn: %v", err)
+				}
 				if *check {
 					return nil
 				}
-				return runNode(ctx, *path, settings, streams, lowest)
+				return runNode(ctx, *path, settings, streams, lowest, uses)
 			}
 		},
 	}
 }
 
-func runNode(ctx context.Context, path string, settings platform.Settings, streams shell.Streams, lowest logrus.Level) error {
+func runNode(ctx context.Context, path string, settings platform.Settings, streams shell.Streams, lowest logrus.Level, uses sched.LearnUses) error {
 	runtime.GOMAXPROCS(1)
 	debug.SetMemoryLimit(int64(float64(settings.MemoryMB<<20) * memoryShare))
 	lines := logq.New(logq.Config{Out: streams.Out, MaxLines: logLines})
@@ -115,7 +120,7 @@
 		WatchStallTimeout: watchStall,
 		Sched: sched.Config{
 			CrossRackFactor: settings.CrossRackFactor,
-			Retention:       settings.StatusRetention, StopTime: settings.StopTime,
+			Retention:       settings.StatusRetention, StopTime: settings.StopTime, Learn: uses,
 		},
 		Platform: adapters(settings), Clock: clock, Log: log, Metrics: set,
 		MemberClient: client(),
