--- a/internal/process/sched/result.go
+++ b/internal/process/sched/result.go
@@ -137,6 +137,10 @@
 	End cairnbay.AgentEnd
 	// RunTime is how long the attempt ran, 0 if unknown.
 	RunTime time.Duration
+	// Predicted is the run time that was predicted at the start, 0 unless the attempt
+	// completed its task as a whole. Queue is the queue of the job.
+	Predicted time.Duration
+	Queue     string
 	// JobKnown is set if the core has the job and the job has the task.
 	JobKnown bool
 	// Incomplete is why the gang was incomplete, empty unless the attempt ended with
@@ -211,9 +215,13 @@
 	}
 	if running.Percent != a.percent {
 		a.percent, a.percentAt = running.Percent, now.BootTime
+		c.observeProgress(now, a)
 	}
 	c.checkProgress(now, a)
 	if a.task != nil {
+		if running.Checkpoint != "" && running.Checkpoint != a.task.checkpoint {
+			a.savedAt = now.BootTime
+		}
 		a.stage.saveCheckpoint(a.task, running.Attempt, running.Checkpoint)
 	}
 	return c.proveAttempt(now, a)
@@ -326,6 +334,10 @@
 	job.started = true
 	task := stage.task(end.Task.Index)
 	task.lastAttempt = max(task.lastAttempt, end.Attempt)
+	attemptEnd.Queue = job.workflow.Queue.Name
+	if a != nil && end.Reason == cairnbay.AgentDone && !a.partial {
+		attemptEnd.Predicted = a.predicted
+	}
 	var records []Record
 	switch end.Reason {
 	case cairnbay.AgentDone:
@@ -358,7 +370,7 @@
 	if a != nil && a.startedAt > 0 && !a.partial && !stage.spec.BestEffort {
 		ran := now.BootTime - a.startedAt
 		c.observeRunTime(stage.job.workflow.Queue.Name, stage.spec.RunTime, ran)
-		stage.longestRunTime = max(stage.longestRunTime, ran)
+		stage.longestRunTime = max(stage.longestRunTime, c.observeDone(now, a, ran))
 	}
 	record := Record{Kind: RecordDone, Task: stage.ref(task.index), Attempt: number}
 	if stage.spec.Gang {
@@ -370,6 +382,9 @@
 			c.stop(other, CauseDone)
 		}
 	}
+	if stage.done == len(stage.tasks) {
+		stage.closeRuns()
+	}
 	c.updateDeadline(stage.job)
 	stage.job.unwritten++
 	stage.job.endIfComplete(now)
