sched: order stages by weighted dominant share of workspaces

Cause: a workspace that sends many times its usual load delays all others. Change: within one precedence and queue priority, stages beyond the workspace's rate come last and the rest follow the share over weight, which a heap of the workspaces follows as starts change it. Package share computes shares for place and sched. Without workspaces, and with at most one that has jobs, the order is the former one.

--- a/internal/process/place/queue.go
+++ b/internal/process/place/queue.go
@@ -9,6 +9,7 @@
 
 	"cairnbay"
 	"cairnbay/internal/process/quota"
+	"cairnbay/internal/process/share"
 )
 
 // queue holds the waiting jobs. Jobs of one shape fit on the same workers, and
@@ -307,7 +308,7 @@
 // chargeTeam changes the capacity charged to a team and reorders its groups.
 func (q *queue) chargeTeam(charged *team, size, total cairnbay.Resources) {
 	charged.used = charged.used.Add(size)
-	charged.share = charged.used.DominantShare(total) / charged.weight
+	charged.share = share.Of(charged.used).Weighted(total, charged.weight)
 	for _, affected := range charged.groups {
 		affected.fixOrder()
 	}
--- a/internal/process/sched/accept.go
+++ b/internal/process/sched/accept.go
@@ -13,13 +13,14 @@
 		return
 	}
 	accepted := &job{
-		workflow: workflow, workspace: c.workspace(workflow.Workspace), inherited: inherited, acceptedAt: now.BootTime,
+		workflow: workflow, workspace: c.workspace(workflow.Workspace), group: c.group(workflow.Workspace), inherited: inherited, acceptedAt: now.BootTime,
 		stages: make(map[stageKey]*stage),
 	}
 	age := time.Duration(now.UnixMS-workflow.AcceptedUnixMS) * time.Millisecond
 	accepted.firstAcceptedAt = now.BootTime - max(age, 0)
 	c.updateDeadline(accepted)
 	c.jobs[workflow.ID] = accepted
+	accepted.group.addJob(accepted, inherited)
 	if workflow.Occurrences == 0 {
 		accepted.addOccurrence()
 	}
--- a/internal/process/sched/admit.go
+++ b/internal/process/sched/admit.go
@@ -113,6 +113,7 @@
 		c.addWork(&work, stage)
 	}
 	capacity, _ := c.classCapacity(nil)
+	c.fairness.capacity = capacity
 	c.backlog = timeForWork(work, capacity, func(int) bool { return true })
 }
 
--- a/internal/process/sched/job.go
+++ b/internal/process/sched/job.go
@@ -12,6 +12,10 @@
 	workflow cairnbay.Workflow
 	// workspace is nil for a job of a public queue.
 	workspace *workspace
+	// group is the work with which the job competes as one; surplus is set if the group
+	// had more jobs than it is entitled to when this one was accepted.
+	group   *group
+	surplus bool
 	// inherited is set for a job that a former owner accepted.
 	inherited  bool
 	acceptedAt time.Duration
@@ -154,6 +158,7 @@
 func (j *job) markEnded(now Moment) {
 	if !j.ended {
 		j.ended, j.endedAt = true, now.BootTime
+		j.group.removeJob()
 	}
 }
 
--- a/internal/process/sched/plan.go
+++ b/internal/process/sched/plan.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"maps"
-	"slices"
 	"time"
 
 	"cairnbay"
@@ -71,6 +70,9 @@
 // Plan returns the actions that are due now.
 func (c *Core) Plan(now Moment) []Action {
 	c.createDueOccurrences(now)
+	if c.ticked {
+		c.fairness.refresh(now.BootTime)
+	}
 	drains := c.planDrains(now)
 	actions := append(c.planStops(now), drains...)
 	actions = append(actions, c.planStarts(now)...)
@@ -138,18 +140,19 @@
 // planStarts places waiting tasks in order of precedence.
 func (c *Core) planStarts(now Moment) (actions []Action) {
 	ranked := make([]rankedStage, 0, len(c.readyStages))
+	skipped := false
 	for stage := range c.readyStages {
 		if stage.blockedAtChange == c.changeCount || (c.blockInherited && stage.job.inherited) {
+			skipped = true
 			continue
 		}
 		ranked = append(ranked, c.rankStage(now, stage))
 	}
-	slices.SortFunc(ranked, comparePrecedence)
 	reservations := make(gangReservations)
 	maps.DeleteFunc(c.queueRisks, func(_ string, queue *queueRisk) bool { return queue.until <= now.BootTime })
 	c.startsHeld = false
 	c.maxTrials = trialBounds{}
-	for _, entry := range ranked {
+	for entry := range c.inOrder(ranked, skipped) {
 		if c.startLimit <= 0 {
 			c.startsHeld = true
 			break
@@ -225,23 +228,38 @@
 
 // rankedStage is a stage with what its order depends on, computed once for a sort.
 type rankedStage struct {
-	stage       *stage
-	urgency     int
-	latestStart time.Duration
+	stage               *stage
+	urgency, precedence int
+	surplus             bool
+	latestStart         time.Duration
 }
 
+// rankStage ranks a stage. Nothing of a surplus job is entitled to be in time, so it never
+// precedes what is patient.
 func (c *Core) rankStage(now Moment, stage *stage) rankedStage {
-	return rankedStage{stage, c.urgency(now, stage), c.latestStart(stage)}
+	ranked := rankedStage{stage: stage, urgency: c.urgency(now, stage), latestStart: c.latestStart(stage)}
+	ranked.precedence = precedence(ranked.urgency)
+	if c.isSurplus(stage.job) {
+		ranked.surplus, ranked.precedence = true, max(ranked.precedence, urgencyPatient)
+	}
+	return ranked
 }
 
+// comparePrecedence is the order of stages apart from shares, see stageOrder.
 func comparePrecedence(a, b rankedStage) int {
-	if order := cmp.Compare(precedence(a.urgency), precedence(b.urgency)); order != 0 {
+	if order := cmp.Compare(a.precedence, b.precedence); order != 0 {
 		return order
 	}
 	jobA, jobB := a.stage.job, b.stage.job
 	if order := cmp.Compare(jobA.workflow.Queue.Priority, jobB.workflow.Queue.Priority); order != 0 {
 		return order
 	}
+	if a.surplus != b.surplus {
+		if a.surplus {
+			return 1
+		}
+		return -1
+	}
 	return cmp.Or(
 		cmp.Compare(a.urgency, b.urgency),
 		cmp.Compare(a.latestStart, b.latestStart),
--- a/internal/process/sched/sched.go
+++ b/internal/process/sched/sched.go
@@ -72,6 +72,7 @@
 	// holds their accounts.
 	workspaces map[string]*workspace
 	ledger     *quota.Ledger
+	fairness   *fairness
 	// crashes are those of workers that were silent, and may be cut off and answer
 	// again, and those read from the store, by worker ID.
 	crashes map[string]*crash
@@ -105,6 +106,7 @@
 		crashes:       make(map[string]*crash),
 		workspaces:    make(map[string]*workspace),
 		ledger:        quota.New(),
+		fairness:      newFairness(),
 	}
 }
 
--- a/internal/process/sched/workspace.go
+++ b/internal/process/sched/workspace.go
@@ -28,6 +28,7 @@
 	for _, term := range terms {
 		c.workspace(term.Name).terms = term
 	}
+	c.setWeights(terms)
 	c.changeCount++
 }
 
@@ -50,4 +51,5 @@
 	if j.workspace != nil {
 		j.workspace.account.Charge(size)
 	}
+	j.group.charge(size)
 }
