sched: admission, preemption and gang reservations by share

Cause: with shares in the order of stages alone, small workspaces beside one that sends 7 times its usual load still waited 7 s at the 95th percentile: urgent work of the large one came before patient work of the others, and stopped it. Change: work of a workspace that holds its part of the class comes last and leaves an eighth free; preemption stops that work first; a reservation for preemption holds one task's capacity; admission counts the work of others up to their shares.

--- a/internal/process/sched/admit.go
+++ b/internal/process/sched/admit.go
@@ -25,9 +25,11 @@
 	RetryAfter time.Duration
 	// ExpectedWait is the estimated time until the job's first task starts.
 	// Slack is the longest wait after which the job still ends within
-	// maxLatenessFactor times its objective. Both are 0 where no worker can run
-	// the job.
+	// maxLatenessFactor times its objective, or within its objective if it is surplus.
+	// Both are 0 where no worker can run the job.
 	ExpectedWait, Slack time.Duration
+	// Surplus is set for a job beyond the rate of its workspace, see fairness.
+	Surplus bool
 }
 
 const (
@@ -55,6 +57,9 @@
 		return Admission{Reason: ReasonNeverFits, RetryAfter: unrunnableRetryAfter}
 	}
 	criticalPath := c.criticalPath(&workflow)
+	if c.fairness.appliesTo(c.group(workflow.Workspace)) {
+		return c.admitFairly(now, workflow, capacity, criticalPath)
+	}
 	admission := Admission{
 		Accept:       true,
 		Slack:        maxLatenessFactor*LatencyObjective(workflow.Queue, criticalPath) - criticalPath,
--- a/internal/process/sched/fairness.go
+++ b/internal/process/sched/fairness.go
@@ -19,6 +19,14 @@
 	// compared. With a half it is the average to which the current use leads within one
 	// half-life, so that each start counts at once.
 	currentPart = 0.5
+	// minPart is the least part of the class that a group may hold before its work comes
+	// last: with few jobs at a time, the use of a small workspace is uneven. With 0.06, the
+	// jobs of small workspaces came behind those of a large one that overloaded the class.
+	minPart = 0.1
+	// overloadMemory is how long a group counts as overloading the class after it held
+	// its part. With 1 s, a burst of 6 s alternated between both states, and stopped the
+	// work of others each time.
+	overloadMemory = 5 * time.Second
 	// minWeight bounds the weights by which shares are divided. A weight of 0 entitles to
 	// nothing, yet the work is done when there is capacity.
 	minWeight = 0.01
@@ -43,7 +51,9 @@
 	// whole class.
 	fairLevel   float64
 	refreshedAt time.Duration
-	order       stageOrder
+	// now is the time of the current plan.
+	now   time.Duration
+	order stageOrder
 }
 
 // group is the work that competes as one: that of a workspace, or all jobs without one.
@@ -61,14 +71,20 @@
 	level float64
 	stale bool
 	// jobs counts the jobs that have not ended.
-	jobs   int
-	bucket bucket
+	jobs int
+	// activeAt is when it last had some.
+	activeAt time.Duration
+	// heldBackAt is when work of the group last came in the second pass, see stageOrder;
+	// heldBack is set once that has happened.
+	heldBackAt time.Duration
+	heldBack   bool
+	bucket     bucket
 	// inherited are the jobs of former owners of which it is not decided yet whether they
 	// are surplus.
 	inherited []*job
-	// waiting are the stages of the current tier that are not planned yet, heapIndex the
-	// group's place among the others; see stageOrder.
-	waiting   []rankedStage
+	// waiting are the positions of the stages of the current tier that are not planned
+	// yet, heapIndex the group's place among the others; see stageOrder.
+	waiting   []int
 	heapIndex int
 }
 
@@ -179,7 +195,7 @@
 		g.account.Charge(size)
 	}
 	g.stale = true
-	g.fairness.order.noteChange(g)
+	g.fairness.order.noteChange(g, size)
 }
 
 // current returns the share over weight.
@@ -192,6 +208,26 @@
 	return g.level
 }
 
+// overPart reports whether the group holds more than its part of the class, if those
+// with jobs divide the whole class by weight.
+func (g *group) overPart() bool {
+	return g.current() > max(g.fairness.fairLevel, minPart/g.shareWeight())
+}
+
+// holdBack reports whether the group's work comes in the second pass, see stageOrder.
+func (g *group) holdBack() bool {
+	if g.overPart() {
+		g.heldBack, g.heldBackAt = true, g.fairness.now
+	}
+	return g.overloads()
+}
+
+// overloads reports whether work of the group came last in recent plans, because the group
+// holds its part of the class or the work is surplus.
+func (g *group) overloads() bool {
+	return g.heldBack && g.fairness.now-g.heldBackAt < overloadMemory
+}
+
 // refresh brings the averages up to now. It is called with each tick, so that the use is
 // nearly constant between two calls.
 func (f *fairness) refresh(now time.Duration) {
@@ -200,6 +236,9 @@
 	part := 1 - math.Exp2(-elapsed.Seconds()/useHalfLife.Seconds())
 	for _, group := range f.sequence {
 		group.settleInherited()
+		if group.jobs > 0 {
+			group.activeAt = now
+		}
 		group.average = group.average.Mix(share.Of(group.account.Used), part)
 		group.stale = true
 	}
@@ -221,10 +260,11 @@
 	}
 }
 
-// activeWeight is the sum of the weights of the groups that have jobs.
+// activeWeight is the sum of the weights of the groups that have jobs, or had some a
+// moment ago: a small workspace is often without a job for a moment.
 func (f *fairness) activeWeight() (sum float64) {
 	for _, group := range f.sequence {
-		if group.jobs > 0 {
+		if group.jobs > 0 || group.activeAt > 0 && f.refreshedAt-group.activeAt < useHalfLife {
 			sum += group.shareWeight()
 		}
 	}
--- a/internal/process/sched/gang.go
+++ b/internal/process/sched/gang.go
@@ -18,6 +18,8 @@
 
 type gangReservation struct {
 	stage *stage
+	// surplus is set for a gang that is surplus; it keeps no worker from entitled work.
+	surplus bool
 	// startsAt is when the gang is expected to start there.
 	startsAt time.Duration
 }
@@ -26,6 +28,9 @@
 // this stage would still run when that one starts.
 func (r gangReservations) blocks(stage *stage, worker string, endsAt time.Duration) bool {
 	reservation, ok := r[worker]
+	if reservation.surplus && !stage.job.surplus {
+		return false
+	}
 	return ok && reservation.stage != stage && endsAt > reservation.startsAt
 }
 
@@ -43,13 +48,13 @@
 // With a policy service it returns the reserved workers if the gang can start
 // within the duration of a call plus StopTime, else nil.
 func (c *Core) reserveForGang(now Moment, stage *stage, reservations gangReservations) []string {
-	if !stage.spec.Gang || stage.gangAborting || reservations.gangs() >= maxReservingGangs {
+	if !stage.spec.Gang || stage.gangAborting || !c.mayReserve(stage, reservations) {
 		return nil
 	}
 	allowed := c.candidates(now, stage, reservations, func(w *worker) bool {
 		return stage.advice == nil || stage.advice.allowed(w.entry.ID)
 	})
-	preempt := c.urgency(now, stage) == urgencyInTime
+	preempt := c.mayPreempt(now, stage)
 	fits := c.chooseGangWorkers(now, stage, allowed, preempt)
 	startsAt := now.BootTime
 	for _, fit := range fits {
@@ -62,7 +67,7 @@
 	}
 	var workers []string
 	for _, fit := range fits {
-		reservations[fit.worker.entry.ID] = gangReservation{stage, startsAt}
+		reservations[fit.worker.entry.ID] = gangReservation{stage, c.isSurplus(stage.job), startsAt}
 		if stage.advice != nil && startsAt-now.BootTime <= stage.job.workflow.Queue.Advice.Decide+c.config.StopTime {
 			workers = append(workers, fit.worker.entry.ID)
 		}
--- a/internal/process/sched/order.go
+++ b/internal/process/sched/order.go
@@ -8,16 +8,57 @@
 	"cairnbay"
 )
 
-// stageOrder yields stages in order of precedence, and among those of one tier in turn
-// between the groups: the next stage is always that of the group with the smallest share
-// over weight. A heap of the groups follows the shares as starts change them.
+// stageOrder yields stages in passes: the entitled work of the groups that do not overload
+// the class, see group.holdBack, then their surplus, then the rest. Otherwise the urgent work
+// of a group that overloads the class would precede all patient work of the others, and
+// usual variations of the small ones would come behind it. Each pass goes by precedence, and among the stages of one tier by share over
+// weight: the next stage is always that of the group with the smallest. A heap of the groups
+// follows the shares as starts change them.
 type stageOrder struct {
+	// sorted are the stages by comparePrecedence, planned those that were yielded.
+	sorted  []rankedStage
+	planned []bool
 	// groups is the heap of those with waiting stages in the current tier.
 	groups []*group
 	// changed are the groups whose shares may have changed since the last stage.
 	changed []*group
 	// following is set while stages are yielded.
 	following bool
+	pass      orderPass
+	// usable is the capacity of the usable workers, free what is left of it.
+	usable, free cairnbay.Resources
+	// hold, if set, is called for each stage that waits because too little is free.
+	hold func(*stage)
+}
+
+// orderPass is one of the passes in which stages are planned.
+type orderPass uint8
+
+const (
+	passEntitled orderPass = iota
+	passSurplus
+	passRest
+)
+
+// has reports whether a stage of a group that does not overload the class belongs to a pass.
+func (p orderPass) has(entry *rankedStage) bool {
+	return p == passRest || entry.urgency != urgencyExpired && entry.surplus == (p == passSurplus)
+}
+
+// headroomPart is the part of the class that the last pass leaves free. Without it, each
+// urgent task of the others has to stop another one: on a full class that kept an eighth of
+// it idle and made all patient work wait.
+const headroomPart = 0.12
+
+// mayTake reports whether a stage of the last pass may start tasks.
+func (o *stageOrder) mayTake(stage *stage) bool {
+	usable, free := o.usable.Values(), o.free.Values()
+	for i, size := range demand(stage.spec).Values() {
+		if size > 0 && float64(free[i]) < headroomPart*float64(usable[i]) {
+			return false
+		}
+	}
+	return true
 }
 
 // notInHeap is the index of a group without waiting stages in the current tier.
@@ -32,7 +73,7 @@
 	if a.level != b.level {
 		return a.level < b.level
 	}
-	return comparePrecedence(a.waiting[0], b.waiting[0]) < 0
+	return a.waiting[0] < b.waiting[0]
 }
 
 // Swap implements heap.Interface.
@@ -57,8 +98,9 @@
 }
 
 // noteChange notes that the share of a group may have changed.
-func (o *stageOrder) noteChange(g *group) {
+func (o *stageOrder) noteChange(g *group, size cairnbay.Resources) {
 	if o.following {
+		o.free = o.free.Sub(size)
 		o.changed = append(o.changed, g)
 	}
 }
@@ -66,44 +108,50 @@
 // all yields stages that are sorted by comparePrecedence.
 func (o *stageOrder) all(sorted []rankedStage) iter.Seq[rankedStage] {
 	return func(yield func(rankedStage) bool) {
-		o.following = true
-		defer func() { o.following, o.changed = false, o.changed[:0] }()
-		for len(sorted) > 0 {
-			end := 1
-			for end < len(sorted) && sameTier(&sorted[0], &sorted[end]) {
-				end++
-			}
-			if !o.tier(sorted[:end], yield) {
-				return
+		o.sorted, o.planned, o.following = sorted, make([]bool, len(sorted)), true
+		defer o.reset()
+		for o.pass = passEntitled; o.pass <= passRest; o.pass++ {
+			for from := 0; from < len(sorted); {
+				to := from + 1
+				for to < len(sorted) && sameTier(&sorted[from], &sorted[to]) {
+					to++
+				}
+				if !o.tier(from, to, yield) {
+					return
+				}
+				from = to
 			}
-			sorted = sorted[end:]
 		}
 	}
 }
 
-// tier yields the stages of one tier.
-func (o *stageOrder) tier(stages []rankedStage, yield func(rankedStage) bool) bool {
-	o.groups = o.groups[:0]
-	for _, entry := range stages {
-		group := entry.stage.job.group
-		if len(group.waiting) == 0 {
+// tier yields the stages of one tier that belong to the current pass.
+func (o *stageOrder) tier(from, to int, yield func(rankedStage) bool) bool {
+	for i := from; i < to; i++ {
+		group := o.sorted[i].stage.job.group
+		if o.planned[i] || !o.pass.has(&o.sorted[i]) || o.pass < passRest && group.holdBack() {
+			continue
+		}
+		if group.heapIndex == notInHeap {
+			group.waiting = group.waiting[:0]
 			group.current()
 			o.Push(group)
 		}
-		group.waiting = append(group.waiting, entry)
+		group.waiting = append(group.waiting, i)
 	}
 	heap.Init(o)
 	for len(o.groups) > 0 {
 		first := o.groups[0]
-		entry := first.waiting[0]
-		first.waiting = first.waiting[1:]
-		if len(first.waiting) == 0 {
+		next := first.waiting[0]
+		o.planned[next] = true
+		if first.waiting = first.waiting[1:]; len(first.waiting) == 0 {
 			heap.Pop(o)
 		} else {
 			heap.Fix(o, 0)
 		}
-		if !yield(entry) {
-			o.clear()
+		if entry := o.sorted[next]; o.pass == passRest && !o.mayTake(entry.stage) {
+			o.hold(entry.stage)
+		} else if !yield(entry) {
 			return false
 		}
 		o.followChanges()
@@ -114,7 +162,11 @@
 // followChanges restores the order of the groups after a stage was planned.
 func (o *stageOrder) followChanges() {
 	for _, group := range o.changed {
-		if group.stale && group.heapIndex != notInHeap {
+		switch {
+		case !group.stale || group.heapIndex == notInHeap:
+		case o.pass < passRest && group.holdBack():
+			heap.Remove(o, group.heapIndex)
+		default:
 			group.current()
 			heap.Fix(o, group.heapIndex)
 		}
@@ -122,12 +174,12 @@
 	o.changed = o.changed[:0]
 }
 
-// clear drops the stages of a tier that are not to be planned.
-func (o *stageOrder) clear() {
+// reset drops the stages that are not to be planned.
+func (o *stageOrder) reset() {
 	for _, group := range o.groups {
-		group.waiting, group.heapIndex = nil, notInHeap
+		group.heapIndex = notInHeap
 	}
-	o.groups = o.groups[:0]
+	o.groups, o.changed, o.sorted, o.planned, o.following = o.groups[:0], o.changed[:0], nil, nil, false
 }
 
 // sameTier reports whether the share decides between two stages.
@@ -139,28 +191,46 @@
 // inOrder yields ranked stages in the order in which they are planned. skipped is set if
 // other stages wait that the last plan could not place. Shares count only where the work
 // that waits may not fit: otherwise the starts would be the same, on other workers.
-func (c *Core) inOrder(ranked []rankedStage, skipped bool) iter.Seq[rankedStage] {
+func (c *Core) inOrder(now Moment, ranked []rankedStage, skipped bool) iter.Seq[rankedStage] {
 	slices.SortFunc(ranked, comparePrecedence)
-	if !c.fairness.applies() || !skipped && c.allFit(ranked) {
+	if !c.fairness.applies() {
 		return slices.Values(ranked)
 	}
-	return c.fairness.order.all(ranked)
+	c.fairness.now = now.BootTime
+	order := &c.fairness.order
+	order.usable, order.free = c.usableCapacity(now)
+	if !skipped && allFit(ranked, order.free) {
+		return slices.Values(ranked)
+	}
+	order.hold = func(held *stage) { held.blockedAtChange = c.changeCount }
+	return order.all(ranked)
 }
 
-// allFit reports whether the class certainly has capacity for all tasks of the stages.
-func (c *Core) allFit(ranked []rankedStage) bool {
-	var wanted, free cairnbay.Resources
+// usableCapacity sums the capacity of the usable workers, and what is free of it on those
+// that are not reserved.
+func (c *Core) usableCapacity(now Moment) (usable, free cairnbay.Resources) {
+	for _, worker := range c.sortedWorkers {
+		if !worker.usable() {
+			continue
+		}
+		usable = usable.Add(worker.entry.Capacity)
+		if worker.reservedFor == nil || worker.reservedUntil <= now.BootTime {
+			free = free.Add(worker.free())
+		}
+	}
+	return usable, free
+}
+
+// allFit reports whether the free capacity suffices for all tasks of the stages, and none
+// has waited for it before.
+func allFit(ranked []rankedStage, free cairnbay.Resources) bool {
+	var wanted cairnbay.Resources
 	for _, entry := range ranked {
 		if entry.stage.blockedAtChange > 0 {
 			return false
 		}
 		wanted = wanted.Add(demand(entry.stage.spec).Times(entry.stage.waiting))
 	}
-	for _, worker := range c.sortedWorkers {
-		if worker.usable() {
-			free = free.Add(worker.free())
-		}
-	}
 	limits := free.Values()
 	for i, amount := range wanted.Values() {
 		if float64(amount) > packingEfficiency*float64(limits[i]) {
--- a/internal/process/sched/place.go
+++ b/internal/process/sched/place.go
@@ -59,7 +59,8 @@
 			continue
 		}
 		if worker.reservedFor != nil && worker.reservedFor != stage && worker.reservedUntil > now.BootTime &&
-			!worker.reservedFor.job.ended && stage.job.workflow.Queue.Priority >= worker.reservedFor.job.workflow.Queue.Priority {
+			!worker.reservedFor.job.ended && stage.job.workflow.Queue.Priority >= worker.reservedFor.job.workflow.Queue.Priority &&
+			!c.fitsBesideReservation(now, stage, worker) {
 			continue
 		}
 		candidates = append(candidates, worker)
@@ -165,7 +166,7 @@
 	size := demand(stage.spec)
 	_, risky := c.queueRisks[stage.job.workflow.Queue.Name]
 	for _, worker := range candidates {
-		if !size.Fits(worker.free()) || worker.trials > 0 && !stage.spec.Gang {
+		if !size.Fits(c.freeFor(stage, worker)) || worker.trials > 0 && !stage.spec.Gang {
 			continue
 		}
 		if _, taken := worker.attempts[stage.ref(task.index)]; taken {
--- a/internal/process/sched/plan.go
+++ b/internal/process/sched/plan.go
@@ -152,7 +152,7 @@
 	maps.DeleteFunc(c.queueRisks, func(_ string, queue *queueRisk) bool { return queue.until <= now.BootTime })
 	c.startsHeld = false
 	c.maxTrials = trialBounds{}
-	for entry := range c.inOrder(ranked, skipped) {
+	for entry := range c.inOrder(now, ranked, skipped) {
 		if c.startLimit <= 0 {
 			c.startsHeld = true
 			break
--- a/internal/process/sched/preempt.go
+++ b/internal/process/sched/preempt.go
@@ -23,7 +23,7 @@
 // lower-priority tasks with checkpoints. Otherwise a burst of urgent work waits
 // behind the lower-priority work that fills the workers.
 func (c *Core) preempt(now Moment, stage *stage, reservations gangReservations) {
-	if stage.spec.Gang || c.urgency(now, stage) != urgencyInTime {
+	if stage.spec.Gang || !c.mayPreempt(now, stage) {
 		return
 	}
 	wanted := stage.waiting - c.waitingSuspects(stage) - c.pendingPreemptions(now, stage)
@@ -63,7 +63,7 @@
 func (c *Core) choosePreemption(now Moment, stage *stage, allowed []*worker) (target *worker, victims []*attempt) {
 	for _, worker := range allowed {
 		attempts := c.victims(now, stage, worker)
-		if attempts == nil || target != nil && len(attempts) >= len(victims) {
+		if attempts == nil || target != nil && !c.costsLess(attempts, victims) {
 			continue
 		}
 		target, victims = worker, attempts
@@ -89,6 +89,7 @@
 	size, free := demand(stage.spec), target.free()
 	slices.SortFunc(preemptible, func(a, b *attempt) int {
 		return cmp.Or(
+			cmp.Compare(c.victimRank(a), c.victimRank(b)),
 			-cmp.Compare(a.size.DominantShare(target.entry.Capacity), b.size.DominantShare(target.entry.Capacity)),
 			cmp.Compare(a.ref.Job, b.ref.Job),
 			cmp.Compare(a.ref.Index, b.ref.Index),
@@ -104,14 +105,16 @@
 }
 
 // preemptibleFor reports whether the attempt may be stopped for the stage: it
-// can resume from a checkpoint, and its job either has enough slack or is late
-// already.
+// can resume from a checkpoint, and its job either has enough slack, is late
+// already, or is surplus.
 func (c *Core) preemptibleFor(now Moment, a *attempt, urgent *stage) bool {
 	if a.stage == nil || a.phase != phaseRunning || a.stopCause != "" ||
-		!a.stage.spec.Checkpoints || a.stage.spec.Gang || a.stage.spec.LongRunning ||
-		a.stage.job.workflow.Queue.Priority <= urgent.job.workflow.Queue.Priority {
+		!a.stage.spec.Checkpoints || a.stage.spec.Gang || a.stage.spec.LongRunning || !c.yieldsTo(now, a, urgent.job) {
 		return false
 	}
+	if c.isSurplus(a.stage.job) {
+		return true
+	}
 	slack := a.stage.job.deadline - now.BootTime - c.remainingTime(now, a)
 	return slack < 0 || slack > minVictimSlack
 }
--- /dev/null
+++ b/internal/process/sched/share_load_test.go
@@ -0,0 +1,138 @@
+package sched_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+
+	"cairnbay"
+	"cairnbay/internal/process/sched"
+)
+
+// weightFactor is the weight of a workspace relative to its usual jobs a second, over
+// all classes.
+const weightFactor = 1.9
+
+// tenant is a workspace of a simulated load.
+type tenant struct {
+	name string
+	// usual is the usual number of jobs a second in this class.
+	usual float64
+	// weight is the configured weight.
+	weight float64
+}
+
+// tenants are a large workspace with a third of the load of a class and nineteen small
+// ones. classPart of the jobs of each are of this class; the owner does not see the rest.
+func tenants(total, classPart float64) []tenant {
+	list := []tenant{{"large", total / 3, weightFactor * total / 3 / classPart}}
+	for n := range 19 {
+		usual := total * 2 / 3 * float64(n+10) / 361
+		list = append(list, tenant{fmt.Sprintf("small%02d", n), usual, weightFactor * usual / classPart})
+	}
+	return list
+}
+
+func terms(of []tenant) (list []sched.WorkspaceTerms) {
+	for _, tenant := range of {
+		list = append(list, sched.WorkspaceTerms{Name: tenant.name, Weight: tenant.weight})
+	}
+	return list
+}
+
+// tenantLoad generates the jobs of a workspace: three quarters are quotes of one or two
+// steps, the rest catalogue jobs of one step.
+func tenantLoad(seed uint64, of tenant, factor float64, from, until time.Duration) (loads []load) {
+	random := rand.New(rand.NewPCG(seed, uint64(len(of.name))+uint64(of.usual*1e6)))
+	for n, at := range poissonArrivals(random, of.usual*factor, from, until) {
+		id := fmt.Sprintf("%s-%d-%03d", of.name, seed, n)
+		var generated load
+		if random.IntN(4) > 0 {
+			generated = multiStep(random, id, quotes, 1+random.IntN(2), 6, cores(normal(random, 3, 0.3), 11_000), 0.75, 0.2)
+		} else {
+			generated = multiStep(random, id, catalogue, 1, 10, cores(normal(random, 3.5, 0.3), 12_000), 4.2, 0.2)
+		}
+		generated.at, generated.job.Workspace = at, of.name
+		loads = append(loads, generated)
+	}
+	return loads
+}
+
+// waits returns, in ascending order, by how much the jobs that select accepts took longer
+// than their true critical path, and the number of jobs that were refused or not completed.
+func (sim *simulation) waits(selects func(cairnbay.Workflow) bool) (waits []time.Duration, missing int) {
+	for id, job := range sim.jobs {
+		if !selects(job) {
+			continue
+		}
+		completed, ok := sim.completed[id]
+		if !ok {
+			missing++
+			continue
+		}
+		wait := completed - sim.submitted[id]
+		for _, step := range sim.runTimes[id] {
+			wait -= step
+		}
+		waits = append(waits, wait)
+	}
+	slices.Sort(waits)
+	return waits, missing
+}
+
+func percentile(sorted []time.Duration, part float64) time.Duration {
+	if len(sorted) == 0 {
+		return 0
+	}
+	return sorted[min(len(sorted)-1, int(part*float64(len(sorted))))]
+}
+
+func ofSmall(job cairnbay.Workflow) bool { return job.Workspace != "large" }
+
+func newTenantSimulation(workers int, of []tenant) *simulation {
+	sim := newSimulation(sched.Config{StopTime: 200 * time.Millisecond, Retention: time.Hour})
+	for i := range workers {
+		sim.addWorker(nthID(cairnbay.Queue{Name: "w"}, i), cores(32, 131_072))
+	}
+	sim.core.SetWorkspaces(terms(of))
+	return sim
+}
+
+var _ = Describe("a workspace that sends many times its usual load", func() {
+	// The usual load of the class is 64 % of its capacity, in 18 jobs a second.
+	const total, workers, classPart = 18.0, 46, 0.55
+	for _, scenario := range []struct {
+		factor   float64
+		duration time.Duration
+	}{{4, 8 * time.Second}, {7, 6 * time.Second}, {8, 5 * time.Second}} {
+		for seed := uint64(1); seed <= 8; seed++ {
+			It(fmt.Sprintf("delays only its own callers (%.0f times for %v)", scenario.factor, scenario.duration), func() {
+				list := tenants(total, classPart)
+				var usual []load
+				for _, tenant := range list {
+					usual = append(usual, tenantLoad(seed, tenant, 1, time.Second, 25*time.Second)...)
+				}
+				burst := tenantLoad(seed+100, list[0], scenario.factor-1, 8*time.Second, 8*time.Second+scenario.duration)
+				without := newTenantSimulation(workers, list)
+				without.replay(usual, true, 30*time.Second)
+				with := newTenantSimulation(workers, list)
+				with.replay(append(slices.Clone(usual), burst...), true, 30*time.Second)
+				for _, sim := range []struct {
+					name string
+					of   *simulation
+				}{{"without", without}, {"with", with}} {
+					small, missing := sim.of.waits(ofSmall)
+					large, largeMissing := sim.of.waits(func(job cairnbay.Workflow) bool { return !ofSmall(job) })
+					q, _ := sim.of.waits(func(job cairnbay.Workflow) bool { return ofSmall(job) && job.Queue.Priority == 0 })
+					cat, _ := sim.of.waits(func(job cairnbay.Workflow) bool { return ofSmall(job) && job.Queue.Priority != 0 })
+					fmt.Println("small", scenario.factor, seed, sim.name, "small", len(small), missing, percentile(small, 0.5), percentile(small, 0.95), percentile(small, 0.99),
+						"quotes", percentile(q, 0.95), percentile(q, 0.99), "catalogue", percentile(cat, 0.5), percentile(cat, 0.95),
+						"large", len(large), largeMissing, percentile(large, 0.5), percentile(large, 0.95), sim.of.stops)
+				}
+			})
+		}
+	}
+})
