sched: keep a workspace's overload in mind while its work waits

Cause: 5 s after a large workspace last held its part, its whole backlog came first again and stopped the work of others: 1.9 s at the 95th percentile in the replay with seed 2. Change: the state lasts while work waits because of it; three fifths of its part are guaranteed; nothing is left free when all workspaces overload the class.

--- a/internal/process/sched/fairness.go
+++ b/internal/process/sched/fairness.go
@@ -23,10 +23,15 @@
 	// last: with few jobs at a time, the use of a small workspace is uneven. With 0.06, the
 	// jobs of small workspaces came behind those of a large one that overloaded the class.
 	minPart = 0.1
-	// overloadMemory is how long a group counts as overloading the class after it held
-	// its part. With 1 s, a burst of 6 s alternated between both states, and stopped the
-	// work of others each time.
+	// overloadMemory is how long a group counts as overloading the class after it held its
+	// part, or had work that waited because of that. With 1 s, and without regard to the
+	// work that waits, a burst of 6 s alternated between both states and stopped the work
+	// of others each time.
 	overloadMemory = 5 * time.Second
+	// guaranteedPart is the part of its own part of the class that a group holds before its
+	// work comes last, also while it overloads the class: others, who may hold up to minPart
+	// each, could take all of it otherwise.
+	guaranteedPart = 0.6
 	// minWeight bounds the weights by which shares are divided. A weight of 0 entitles to
 	// nothing, yet the work is done when there is capacity.
 	minWeight = 0.01
@@ -217,9 +222,13 @@
 // holdBack reports whether the group's work comes in the second pass, see stageOrder.
 func (g *group) holdBack() bool {
 	if g.overPart() {
-		g.heldBack, g.heldBackAt = true, g.fairness.now
+		g.noteOverload()
 	}
-	return g.overloads()
+	return g.overloads() && g.current() >= guaranteedPart*g.fairness.fairLevel
+}
+
+func (g *group) noteOverload() {
+	g.heldBack, g.heldBackAt = true, g.fairness.now
 }
 
 // overloads reports whether work of the group came last in recent plans, because the group
@@ -228,6 +237,11 @@
 	return g.heldBack && g.fairness.now-g.heldBackAt < overloadMemory
 }
 
+// hasModest reports whether some group with jobs does not overload the class.
+func (f *fairness) hasModest() bool {
+	return slices.ContainsFunc(f.sequence, func(g *group) bool { return g.jobs > 0 && !g.overloads() })
+}
+
 // refresh brings the averages up to now. It is called with each tick, so that the use is
 // nearly constant between two calls.
 func (f *fairness) refresh(now time.Duration) {
--- a/internal/process/sched/order.go
+++ b/internal/process/sched/order.go
@@ -29,6 +29,8 @@
 	usable, free cairnbay.Resources
 	// hold, if set, is called for each stage that waits because too little is free.
 	hold func(*stage)
+	// headroom is set if the last pass leaves some capacity free.
+	headroom bool
 }
 
 // orderPass is one of the passes in which stages are planned.
@@ -45,13 +47,17 @@
 	return p == passRest || entry.urgency != urgencyExpired && entry.surplus == (p == passSurplus)
 }
 
-// headroomPart is the part of the class that the last pass leaves free. Without it, each
+// headroomPart is the part of the class that the last pass leaves free while some group with
+// jobs does not overload it. Without it, each
 // urgent task of the others has to stop another one: on a full class that kept an eighth of
 // it idle and made all patient work wait.
 const headroomPart = 0.12
 
 // mayTake reports whether a stage of the last pass may start tasks.
 func (o *stageOrder) mayTake(stage *stage) bool {
+	if !o.headroom {
+		return true
+	}
 	usable, free := o.usable.Values(), o.free.Values()
 	for i, size := range demand(stage.spec).Values() {
 		if size > 0 && float64(free[i]) < headroomPart*float64(usable[i]) {
@@ -132,6 +138,9 @@
 		if o.planned[i] || !o.pass.has(&o.sorted[i]) || o.pass < passRest && group.holdBack() {
 			continue
 		}
+		if o.pass == passRest && group.overloads() {
+			group.noteOverload()
+		}
 		if group.heapIndex == notInHeap {
 			group.waiting = group.waiting[:0]
 			group.current()
@@ -202,6 +211,7 @@
 	if !skipped && allFit(ranked, order.free) {
 		return slices.Values(ranked)
 	}
+	order.headroom = c.fairness.hasModest()
 	order.hold = func(held *stage) { held.blockedAtChange = c.changeCount }
 	return order.all(ranked)
 }
