--- a/internal/process/sched/bench_test.go
+++ b/internal/process/sched/bench_test.go
@@ -70,3 +70,31 @@
 	core.Plan(now)
 	return core, now
 }
+
+// BenchmarkPlanWithWorkspaces plans a class that is full, with each waiting stage considered
+// again, for jobs without workspaces and for those of 290 that compete.
+func BenchmarkPlanWithWorkspaces(b *testing.B) {
+	const workers, jobs = 800, 2000
+	for _, workspaces := range []int{0, 290} {
+		b.Run(fmt.Sprintf("workspaces=%d", workspaces), func(b *testing.B) {
+			core, now := newFullCore(workers, 0)
+			var terms []sched.WorkspaceTerms
+			for n := range workspaces {
+				terms = append(terms, sched.WorkspaceTerms{Name: fmt.Sprint("workspace", n), Weight: 20})
+			}
+			core.SetWorkspaces(terms)
+			for n := range jobs {
+				job := singleStep(fmt.Sprint("waiting", n), models, 1, cores(1, 100), time.Minute)
+				if workspaces > 0 {
+					job.Workspace = terms[n%workspaces].Name
+				}
+				core.Accept(now, job, false)
+			}
+			for b.Loop() {
+				now.BootTime += time.Millisecond
+				core.Tick()
+				core.Plan(now)
+			}
+		})
+	}
+}
--- a/internal/process/sched/displace.go
+++ b/internal/process/sched/displace.go
@@ -19,9 +19,10 @@
 
 // yieldsTo reports whether work with a checkpoint may be stopped for an urgent job, by
 // priority and share. Work of the same group and all surplus yields to a higher priority.
-// Other work yields unless the urgent job's group holds more than its part of the class
-// and the other one holds less than it: so an overload displaces only its own work and
-// that of others that overload. Surplus also yields to the same priority, for a group
+// While some group overloads the class, other work yields to urgent work of other groups
+// only if its own group overloads it, and to another such group only if that is less well
+// served: so an overload displaces nothing of the others, and what it delays of theirs takes
+// the capacity back from it. Surplus also yields to the same priority, for a group
 // that is no better served.
 func (c *Core) yieldsTo(now Moment, a *attempt, urgent *job) bool {
 	victim := a.stage.job
@@ -38,7 +39,10 @@
 	case victim.group == urgent.group || victim.surplus:
 		return true
 	default:
-		return !urgent.group.overloads() || victim.group.overloads() && urgent.group.current() < victim.group.current()
+		if victim.group.overloads() {
+			return !urgent.group.overloads() || urgent.group.current() < victim.group.current()
+		}
+		return !urgent.group.overloads() && !c.fairness.order.overloaded
 	}
 }
 
--- a/internal/process/sched/fairness.go
+++ b/internal/process/sched/fairness.go
@@ -237,9 +237,16 @@
 	return g.heldBack && g.fairness.now-g.heldBackAt < overloadMemory
 }
 
-// hasModest reports whether some group with jobs does not overload the class.
-func (f *fairness) hasModest() bool {
-	return slices.ContainsFunc(f.sequence, func(g *group) bool { return g.jobs > 0 && !g.overloads() })
+// groupsByOverload reports whether some group with jobs overloads the class, and whether
+// some does not.
+func (f *fairness) groupsByOverload() (some, others bool) {
+	for _, group := range f.sequence {
+		if group.jobs > 0 {
+			overloads := group.overloads()
+			some, others = some || overloads, others || !overloads
+		}
+	}
+	return some, others
 }
 
 // refresh brings the averages up to now. It is called with each tick, so that the use is
--- a/internal/process/sched/order.go
+++ b/internal/process/sched/order.go
@@ -31,6 +31,8 @@
 	hold func(*stage)
 	// headroom is set if the last pass leaves some capacity free.
 	headroom bool
+	// overloaded is set if some group with jobs overloads the class.
+	overloaded bool
 }
 
 // orderPass is one of the passes in which stages are planned.
@@ -211,7 +213,7 @@
 	if !skipped && allFit(ranked, order.free) {
 		return slices.Values(ranked)
 	}
-	order.headroom = c.fairness.hasModest()
+	order.overloaded, order.headroom = c.fairness.groupsByOverload()
 	order.hold = func(held *stage) { held.blockedAtChange = c.changeCount }
 	return order.all(ranked)
 }
