--- a/internal/process/drive/drive.go
+++ b/internal/process/drive/drive.go
@@ -69,8 +69,9 @@
 	// planDue and compactDue wake the goroutines that plan and that check the journal.
 	planDue, compactDue chan struct{}
 	// tickDue says that the next plan must consider the time that has passed.
-	tickDue atomic.Bool
-	meters  meters
+	tickDue     atomic.Bool
+	meters      meters
+	shareMeters *shareMeters
 	// planDueAt is the boot time at which the next plan is due, in nanoseconds; 0
 	// while none is.
 	planDueAt atomic.Int64
@@ -163,6 +164,7 @@
 		listed: make(map[string]cairnbay.WorkerEntry), pending: make(map[string]*submission), recordsStored: make(chan struct{}),
 		inherited: make(map[string]struct{}), refusals: make(map[string]struct{}), replaced: make(map[string]cairnbay.AgentTarget), pacer: newPacer(), meters: newMeters(config.Metrics, config.Claim.Shard),
 	}
+	d.shareMeters = newShareMeters(d.meters)
 	d.writer = record.New(record.Config{
 		Store: config.Store, Commit: config.Store.Commit, Shard: config.Claim.Shard,
 		Generation: config.Claim.Generation, Fence: config.Claim.Fence, Log: config.Log,
@@ -177,6 +179,7 @@
 	d.cancel()
 	d.writer.Close()
 	d.done.Wait()
+	d.shareMeters.removeExcept(nil)
 	d.config.Log.Info("owner stopped")
 }
 
@@ -469,6 +472,7 @@
 	}
 	d.countStarts(actions)
 	d.observeHeldStarts(now.BootTime)
+	d.shareMeters.update(now.BootTime, d.core)
 	d.mu.Unlock()
 	d.execute(actions)
 }
--- a/internal/process/drive/submit.go
+++ b/internal/process/drive/submit.go
@@ -31,6 +31,10 @@
 	// Cancelled says of an accepted job that it was submitted before and has been
 	// cancelled since.
 	Cancelled bool
+	// Surplus says that the job was refused beyond the rate of its workspace, and Wait how
+	// long it would have waited by the owner's estimate; 0 if that was not the reason.
+	Surplus bool
+	Wait    time.Duration
 }
 
 const (
@@ -121,6 +125,7 @@
 	admission := d.core.Admit(now, workflow)
 	if !admission.Accept {
 		refused.Reason, refused.RetryAfter = admission.Reason, admission.RetryAfter
+		refused.Surplus, refused.Wait = admission.Surplus, admission.ExpectedWait
 		return refused, nil
 	}
 	if workflow.AcceptedUnixMS == 0 {
@@ -151,6 +156,12 @@
 		fields["reason"] = verdict.Reason
 		fields["retry_after_ms"] = verdict.RetryAfter.Milliseconds()
 	}
+	if workflow.Workspace != "" {
+		fields["workspace"] = workflow.Workspace
+	}
+	if verdict.Wait > 0 {
+		fields["wait_ms"], fields["surplus"] = verdict.Wait.Milliseconds(), verdict.Surplus
+	}
 	d.config.Log.WithFields(fields).Info("submission")
 }
 
--- a/internal/process/sched/displace.go
+++ b/internal/process/sched/displace.go
@@ -27,14 +27,15 @@
 func (c *Core) yieldsTo(now Moment, a *attempt, urgent *job) bool {
 	victim := a.stage.job
 	priority, urgentPriority := victim.workflow.Queue.Priority, urgent.workflow.Queue.Priority
+	if priority < urgentPriority || priority == urgentPriority && !victim.surplus {
+		return false
+	}
 	if !c.fairness.applies() {
 		return priority > urgentPriority
 	}
 	switch {
-	case priority < urgentPriority:
-		return false
 	case priority == urgentPriority:
-		return victim.surplus && !urgent.surplus && urgent.group.current() <= victim.group.current() &&
+		return !urgent.surplus && urgent.group.current() <= victim.group.current() &&
 			c.remainingTime(now, a) > minSurplusRemaining
 	case victim.group == urgent.group || victim.surplus:
 		return true
--- a/internal/process/sched/share_identity_test.go
+++ b/internal/process/sched/share_identity_test.go
@@ -93,7 +93,8 @@
 		runTime := 900 * time.Millisecond
 		loads = append(loads, load{
 			time.Second + time.Duration(n)*137*time.Millisecond,
-			singleStep(nthID(quotes, n), quotes, 6, cores(3, 11_000), runTime), []time.Duration{runTime},
+			singleStep(nthID(quotes, n), quotes, 6, cores(3, 11_000), runTime),
+			[]time.Duration{runTime},
 		})
 	}
 	return loads
