--- a/internal/process/sched/sched.go
+++ b/internal/process/sched/sched.go
@@ -78,6 +78,7 @@
 	// termsKnown is set by SetWorkspaces, quotaHeld if the last plan left a stage out
 	// because of its workspace.
 	termsKnown, quotaHeld bool
+	fairness              *fairness
 	// crashes are those of workers that were silent, and may be cut off and answer
 	// again, and those read from the store, by worker ID.
 	crashes map[string]*crash
@@ -112,6 +113,7 @@
 		crashes:       make(map[string]*crash),
 		workspaces:    make(map[string]*workspace),
 		ledger:        quota.New(),
+		fairness:      newFairness(),
 	}
 }
 
--- a/internal/process/sched/simulation_test.go
+++ b/internal/process/sched/simulation_test.go
@@ -76,6 +76,8 @@
 	onStart func(*sched.StartAction)
 	// eachStep is called before each step of the simulation, if it is set.
 	eachStep func()
+	// trace is called with the actions of each plan, if it is set.
+	trace func([]sched.Action)
 }
 
 type adviceCall struct {
@@ -182,6 +184,9 @@
 }
 
 func (sim *simulation) execute(actions []sched.Action) {
+	if sim.trace != nil {
+		sim.trace(actions)
+	}
 	ctx := context.Background()
 	for _, action := range actions {
 		switch {
--- a/internal/process/sched/workspace.go
+++ b/internal/process/sched/workspace.go
@@ -45,6 +45,7 @@
 			continue
 		}
 		known.terms, known.configured = term, true
+		c.setWeight(term)
 		c.changeCount++
 	}
 	c.termsKnown = true
@@ -69,4 +70,5 @@
 	if j.workspace != nil {
 		j.workspace.account.Charge(size)
 	}
+	j.group.charge(size)
 }
