sched: move or copy runs that are slower than expected

Interactive jobs wait for their slowest task, and the only mitigation so far is the stop of a run without any progress for 2.5 s. With Config.Stragglers the core compares the recent rate of progress with the siblings of the step, marks disturbed workers, and moves slow runs, or copies those of speculative steps.

--- a/internal/process/sched/advice.go
+++ b/internal/process/sched/advice.go
@@ -185,8 +185,8 @@
 			return indefinite
 		}
 		for i := range predecessor.tasks {
-			if attempt := predecessor.tasks[i].attempt; attempt != nil {
-				longest = max(longest, c.remainingTime(now, attempt))
+			if attempts := predecessor.tasks[i].attempts(); len(attempts) > 0 {
+				longest = max(longest, c.shortestRemainingTime(now, attempts))
 			}
 		}
 	}
--- a/internal/process/sched/job.go
+++ b/internal/process/sched/job.go
@@ -53,6 +53,10 @@
 	// waiting counts the tasks that are neither on a worker nor done.
 	waiting int
 	done    int
+	// measured are the last run times of done tasks, on a worker of usual speed, and
+	// expected is the run time that follows from them.
+	measured []time.Duration
+	expected expectedTime
 	// longestRunTime is the longest measured run time of a done task.
 	longestRunTime time.Duration
 	// gangFailures are the failed attempts of a gang, crashes the crashes of workers
@@ -75,10 +79,14 @@
 
 // task is one task of a stage.
 type task struct {
-	index       int
-	done        bool
-	attempt     *attempt
-	lastAttempt int
+	index int
+	done  bool
+	// attempt is the live attempt, copy a second one on another worker; only tasks of
+	// a speculative step have one.
+	attempt, copy *attempt
+	lastAttempt   int
+	// relocated is set once an attempt was moved or copied, which is done once.
+	relocated bool
 	// failures are the attempts that failed, crashes the crashes of workers under a task
 	// of no gang.
 	failures attemptNumbers
@@ -87,6 +95,8 @@
 	// preferred.
 	failedOn   string
 	checkpoint string
+	// checkpointPercent is the progress at which checkpoint was first reported.
+	checkpointPercent int
 	// restarts counts the ends of a long-running task since its last run of
 	// more than stableRunTime. notBefore is the earliest time of the next
 	// start.
--- a/internal/process/sched/place.go
+++ b/internal/process/sched/place.go
@@ -51,10 +51,14 @@
 	if stage.spec.LongRunning {
 		endsAt = now.BootTime + indefinite
 	}
+	avoid := c.avoidsDisturbed(now, stage)
 	for _, worker := range c.sortedWorkers {
 		if !worker.usable() || worker.trials > 0 || worker.backoffUntil > now.BootTime || !allowed(worker) || !worker.canRun(stage.spec) {
 			continue
 		}
+		if avoid && worker.disturbed(now) {
+			continue
+		}
 		if reservations.blocks(stage, worker.entry.ID, endsAt) {
 			continue
 		}
@@ -209,6 +213,9 @@
 	if spec.Rack != "" && w.entry.Rack != spec.Rack {
 		cost += crossRackCost * (c.config.CrossRackFactor - 1)
 	}
+	if w.disturbedUntil > c.plannedAt {
+		cost += disturbedCost
+	}
 	if task.failedOn == w.entry.ID {
 		cost += failedWorkerCost
 	}
--- a/internal/process/sched/plan.go
+++ b/internal/process/sched/plan.go
@@ -28,6 +28,8 @@
 	Waited time.Duration
 	// Trial is set for a suspect of a crash, see beginTrial.
 	Trial bool
+	// Copy is set while another attempt of the task runs.
+	Copy bool
 }
 
 // StopAction stops an attempt.
@@ -74,6 +76,7 @@
 	drains := c.planDrains(now)
 	actions := append(c.planStops(now), drains...)
 	actions = append(actions, c.planStarts(now)...)
+	actions = append(actions, c.planStragglers(now)...)
 	if c.ticked {
 		c.ticked = false
 		actions = append(actions, c.planEarlyAdvice(now)...)
@@ -121,16 +124,18 @@
 			if attempt.stopSentAt > 0 && now.BootTime-attempt.stopSentAt < stopRetryInterval {
 				continue
 			}
-			attempt.stopSentAt = now.BootTime
-			attempt.stopInFlight = true
-			actions = append(actions, Action{Stop: &StopAction{
-				Target: worker.target(), Task: attempt.ref, Attempt: attempt.number, Cause: attempt.stopCause,
-			}})
+			actions = append(actions, sendStop(now, attempt))
 		}
 	}
 	return actions
 }
 
+// sendStop orders the stop of an attempt that is marked for it.
+func sendStop(now Moment, a *attempt) Action {
+	a.stopSentAt, a.stopInFlight = now.BootTime, true
+	return Action{Stop: &StopAction{Target: a.worker.target(), Task: a.ref, Attempt: a.number, Cause: a.stopCause}}
+}
+
 func (w *worker) target() cairnbay.AgentTarget {
 	return cairnbay.AgentTarget{Worker: w.entry.ID, Address: w.entry.Address}
 }
@@ -146,6 +151,7 @@
 	}
 	slices.SortFunc(ranked, comparePrecedence)
 	reservations := make(gangReservations)
+	c.plannedAt, c.reservations = now.BootTime, reservations
 	maps.DeleteFunc(c.queueRisks, func(_ string, queue *queueRisk) bool { return queue.until <= now.BootTime })
 	c.startsHeld = false
 	c.maxTrials = trialBounds{}
@@ -314,6 +320,7 @@
 			Target: attempt.worker.target(), Task: attempt.ref, Attempt: attempt.number,
 			Payload: stage.job.workflow.Payload, Checkpoint: attempt.task.checkpoint, Ticket: ticket,
 			Waited: now.BootTime - stage.job.acceptedAt, Trial: attempt.trialWeight > 0,
+			Copy: attempt == attempt.task.copy,
 		}})
 	}
 	return actions
--- a/internal/process/sched/result.go
+++ b/internal/process/sched/result.go
@@ -99,6 +99,9 @@
 
 // undoStart detaches an attempt that certainly did not start.
 func (c *Core) undoStart(_ Moment, a *attempt) {
+	if a == a.task.copy {
+		a.task.relocated = false
+	}
 	c.detach(a)
 	c.abortGang(a)
 }
@@ -187,6 +190,7 @@
 		listed[running.Task] = running.Attempt
 		result.Records = append(result.Records, c.handleRunning(now, worker, running)...)
 	}
+	c.judgeProgress(now, worker)
 	for ref, attempt := range worker.attempts {
 		if number, ok := listed[ref]; !ok || number != attempt.number {
 			if c.handleMissing(now, attempt, sent) {
@@ -212,9 +216,14 @@
 	if running.Percent != a.percent {
 		a.percent, a.percentAt = running.Percent, now.BootTime
 	}
+	c.sampleProgress(now, a, running.Percent)
 	c.checkProgress(now, a)
 	if a.task != nil {
+		former := a.task.checkpoint
 		a.stage.saveCheckpoint(a.task, running.Attempt, running.Checkpoint)
+		if a.task.checkpoint != former {
+			a.task.checkpointPercent = running.Percent
+		}
 	}
 	return c.proveAttempt(now, a)
 }
@@ -277,6 +286,8 @@
 		if !c.blockInherited {
 			c.stopIncompleteGang(stage)
 		}
+	} else if c.adoptCopy(adopted) {
+		adopted.stopCause = ""
 	}
 	return adopted
 }
@@ -366,10 +377,15 @@
 		stage.finishAll()
 	} else {
 		stage.finish(task)
-		if other := task.attempt; other != nil && other != a {
-			c.stop(other, CauseDone)
+		for _, other := range task.attempts() {
+			if other != a {
+				c.stop(other, CauseDone)
+			}
 		}
 	}
+	if a != nil {
+		c.observeSpeed(now, a)
+	}
 	c.updateDeadline(stage.job)
 	stage.job.unwritten++
 	stage.job.endIfComplete(now)
@@ -409,7 +425,7 @@
 // saveCheckpoint stores an attempt's checkpoint for the next attempt, unless a later
 // attempt is known; all members of a gang share one. An empty one changes nothing.
 func (s *stage) saveCheckpoint(task *task, attempt int, checkpoint string) {
-	if checkpoint == "" || attempt < s.latestAttempt(task) {
+	if checkpoint == "" || !s.mayResumeFrom(task, attempt) {
 		return
 	}
 	if s.spec.Gang {
--- a/internal/process/sched/sched.go
+++ b/internal/process/sched/sched.go
@@ -34,6 +34,9 @@
 	Retention time.Duration
 	// StopTime is how long a worker takes to stop a task.
 	StopTime time.Duration
+	// Stragglers moves or copies runs that are slower than expected, see
+	// planStragglers.
+	Stragglers bool
 }
 
 // Core is the scheduling state of one class. It is not safe for concurrent use.
@@ -81,6 +84,17 @@
 	givenUp []GivenUp
 	// trials is the sum of the weights of the attempts on trial, in thousandths.
 	trials int
+	// slow holds the attempts whose progress was slow in their last report, discards
+	// what moves and copies discard, and relocations those since the last
+	// TakeRelocations.
+	slow        map[*attempt]struct{}
+	discards    discards
+	relocations []Relocation
+	// disturbedWorkers is the number of disturbed workers at the last tick, plannedAt the
+	// boot time of the last plan, and reservations those of its gangs.
+	disturbedWorkers int
+	plannedAt        time.Duration
+	reservations     gangReservations
 	// maxTrials are the bounds of trials in this plan, not set until a suspect waits.
 	maxTrials trialBounds
 }
@@ -105,6 +119,7 @@
 		crashes:       make(map[string]*crash),
 		workspaces:    make(map[string]*workspace),
 		ledger:        quota.New(),
+		slow:          make(map[*attempt]struct{}),
 	}
 }
 
--- a/internal/process/sched/worker.go
+++ b/internal/process/sched/worker.go
@@ -40,6 +40,11 @@
 	unreachableSince time.Duration
 	// trials counts the attempts on trial.
 	trials int
+	// disturbedUntil is how long the worker counts as disturbed, disturbedSince when that
+	// began, and steadyAt when a run last progressed as expected.
+	disturbedUntil, disturbedSince, steadyAt time.Duration
+	// logSlowness is the logarithm of the usual run time here relative to other workers.
+	logSlowness float64
 	// clock is the worker's clock in its latest answer.
 	clock time.Duration
 }
@@ -87,6 +92,10 @@
 	// percent is the last reported progress, percentAt when it changed.
 	percent   int
 	percentAt time.Duration
+	// progress is the recent progress, for attempts whose slowness counts.
+	progress progress
+	// assessedAt is when a move or copy of the attempt was last considered.
+	assessedAt time.Duration
 	// stopCause is why the attempt is being stopped, empty while it is not.
 	stopCause EndCause
 	// stopSentAt is when the last stop was sent, stopAnsweredAt when one was
@@ -102,7 +111,8 @@
 
 // Causes of a stop. CauseStartUnanswered is also used for a running attempt
 // that its worker no longer lists, CauseOrphan for one whose task is unknown,
-// done or placed elsewhere, CauseDone where another attempt completed the task.
+// done or placed elsewhere, CauseDone where another attempt completed the task, and
+// CauseStraggling for one that ends sooner on another worker.
 const (
 	CauseCancelled       EndCause = "cancelled"
 	CausePreempted       EndCause = "preempted"
@@ -111,6 +121,7 @@
 	CauseOrphan          EndCause = "no_such_task"
 	CauseStalled         EndCause = "no_progress"
 	CauseDone            EndCause = "already_done"
+	CauseStraggling      EndCause = "slow_progress"
 )
 
 // ranAtLeast is how long the worker is known to have run the attempt, on its own clock,
@@ -171,6 +182,7 @@
 		return
 	}
 	delete(w.attempts, a.ref)
+	delete(c.slow, a)
 	w.used = w.used.Sub(a.size)
 	c.endTrial(a)
 	if a.phase != phaseReserved {
@@ -190,12 +202,7 @@
 	if a.stage.spec.BestEffort {
 		w.bestEffort--
 	}
-	if a.task.attempt == a {
-		a.task.attempt = nil
-		if !a.task.done {
-			a.stage.waiting++
-		}
-	}
+	a.detachFromTask()
 	if a.stage.liveAttempts == 0 {
 		a.stage.gangAborting = false
 	}
