sched: rate of progress over 400 ms, a share of the discarded work for patient runs

A second's rate hid the begin of a disturbance: urgent runs on a worker that had been steady a moment ago counted as long tasks. Patient moves used up the bound of discarded work.

--- a/internal/process/sched/discard.go
+++ b/internal/process/sched/discard.go
@@ -5,7 +5,12 @@
 const (
 	// discardShare bounds the work that moves and copies discard, as a share of the
 	// running resource-time of discardWindow.
-	discardShare  = 0.05
+	discardShare = 0.05
+	// patientDiscardShare is the bound beyond which patient work discards nothing, so
+	// that the moves of the many patient runs on a disturbed worker leave enough for
+	// urgent ones.
+	patientDiscardShare = 0.02
+	// discardWindow is the time over which both are counted.
 	discardWindow = 10 * time.Second
 	// discardBucket is the resolution of the window.
 	discardBucket  = time.Second
@@ -50,15 +55,15 @@
 	d.buckets[d.bucket%int64(discardBuckets)].used += used * elapsed
 }
 
-// allow reports whether an amount may be discarded, and counts it if so.
-func (d *discards) allow(now Moment, amount float64) bool {
+// allow reports whether an amount may be discarded within a share, and counts it if so.
+func (d *discards) allow(now Moment, amount, share float64) bool {
 	d.advance(now)
 	used, discarded := 0.0, amount
 	for _, bucket := range d.buckets {
 		used += bucket.used
 		discarded += bucket.discarded
 	}
-	if discarded > discardShare*used {
+	if discarded > share*used {
 		return false
 	}
 	d.buckets[d.bucket%int64(discardBuckets)].discarded += amount
--- a/internal/process/sched/progress.go
+++ b/internal/process/sched/progress.go
@@ -13,6 +13,9 @@
 	// minProgressWindow is the least time between two reports from which a rate
 	// follows; progress is rounded to whole percents.
 	minProgressWindow = 200 * time.Millisecond
+	// rateWindow is the time over which a rate is taken if the reports allow it: shorter
+	// ones suffer from rounding, longer ones show a change of speed later.
+	rateWindow = 400 * time.Millisecond
 	// sampleSpacing is the least time between the samples that are kept, so that a
 	// second takes a few, however often a worker reports.
 	sampleSpacing = 150 * time.Millisecond
@@ -41,8 +44,8 @@
 	// steadyFactor is the slowdown up to which a run shows that its worker is healthy.
 	steadyFactor = 1.5
 	// disturbedTime is how long a worker counts as disturbed after its last slow
-	// progress. Half of a usual disturbance is left by then.
-	disturbedTime = 3 * time.Second
+	// progress. A usual disturbance lasts 6 s and is seen within its first second.
+	disturbedTime = 4 * time.Second
 	// slownessSmoothing is the weight of one run in the slowness of a worker, and
 	// maxLogSlowness bounds the logarithm of one observation.
 	slownessSmoothing = 0.1
@@ -96,6 +99,11 @@
 		return
 	}
 	first, last := p.samples[0], p.samples[len(p.samples)-1]
+	for _, earlier := range p.samples {
+		if last.clock-earlier.clock >= rateWindow {
+			first = earlier
+		}
+	}
 	window := (last.clock - first.clock).Seconds()
 	if window < minProgressWindow.Seconds() {
 		return
@@ -183,6 +191,7 @@
 	case steady:
 		w.disturbedUntil, w.steadyAt = 0, now.BootTime
 	case slow:
+		w.steadyAt = 0
 		if !w.disturbed(now) {
 			w.disturbedSince = now.BootTime
 		}
--- a/internal/process/sched/straggler.go
+++ b/internal/process/sched/straggler.go
@@ -105,7 +105,11 @@
 			continue
 		}
 		amount := s.attempt.size.DominantShare(s.attempt.worker.entry.Capacity) * s.discarded.Seconds()
-		if c.discards.allow(now, amount) {
+		share := discardShare
+		if stage.job.workflow.Queue.Priority > urgentPriority {
+			share = patientDiscardShare
+		}
+		if c.discards.allow(now, amount, share) {
 			actions = append(actions, c.relocate(now, s, target)...)
 		}
 	}
