sched: random sequences with copies through takeovers, cancellations, failures and losses

A step often has half of its tasks on one worker, so that the median of its runs is a slow one when that worker is disturbed; the expected run time is now what a third of the runs does not exceed. A run whose progress shows less than a percent in the window no longer counts as steady.

--- /dev/null
+++ b/internal/process/sched/copy_test.go
@@ -0,0 +1,267 @@
+package sched_test
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"cairnbay"
+	"cairnbay/internal/process/sched"
+)
+
+// copyDriver drives owners through faults while tasks are moved and copied. Its oracle
+// are the fleet's own checks and what has become of the jobs.
+type copyDriver struct {
+	*simulation
+	config sched.Config
+	// cut are the workers that are cut off, by the time at which they were; lapsed those
+	// whose lease has been counted as ended since.
+	cut        map[string]time.Duration
+	lapsed     map[string]bool
+	recovering bool
+	cancelled  map[string]bool
+	// failures counts the failed attempts, by task; failShare is how often one fails.
+	failures  map[cairnbay.WorkflowTask]int
+	failShare float64
+	copies    int
+}
+
+const copyTestAttempts = 3
+
+func newCopyDriver() *copyDriver {
+	d := &copyDriver{
+		config: sched.Config{StopTime: 200 * time.Millisecond, Retention: time.Hour, Stragglers: true},
+		cut:    make(map[string]time.Duration), lapsed: make(map[string]bool), cancelled: make(map[string]bool),
+		failures: make(map[cairnbay.WorkflowTask]int),
+	}
+	d.simulation = newSimulation(d.config)
+	d.stopTime, d.holdPeriod, d.eachStep = 200*time.Millisecond, 200*time.Millisecond, d.followFaults
+	d.fails = func(task cairnbay.WorkflowTask, attempt int) bool {
+		hash := xxhash.Sum64String(fmt.Sprint(task, attempt))
+		fails := rand.New(rand.NewPCG(hash, 1)).Float64() < d.failShare
+		if fails {
+			d.failures[task]++
+		}
+		return fails
+	}
+	for i := range 8 {
+		d.addWorker(nthID(cairnbay.Queue{Name: "w"}, i), cores(16, 16_000))
+	}
+	return d
+}
+
+// followFaults does what the drive does about silent workers and about a recovery.
+func (d *copyDriver) followFaults() {
+	for _, relocation := range d.core.TakeRelocations() {
+		if relocation.Copy {
+			d.copies++
+		}
+	}
+	for id, since := range d.cut {
+		if d.now-since > lease && !d.lapsed[id] {
+			d.lapsed[id] = true
+			d.store(d.core.HandleWorkerLoss(d.moment(), id, sched.LossSilent).Records)
+			d.core.SetWorker(cairnbay.WorkerEntry{ID: id, Address: id, Rack: "r-" + id, Capacity: cores(16, 16_000)})
+			d.core.SetReachable(d.moment(), id, false)
+		}
+	}
+	if d.recovering && len(d.cut) == 0 {
+		d.recovering = false
+		for _, id := range slices.Clone(d.ids) {
+			d.hold(id)
+		}
+		d.core.EndRecovery()
+	}
+}
+
+func (d *copyDriver) worker(t *rapid.T) string {
+	return rapid.SampledFrom(d.ids).Draw(t, "worker")
+}
+
+// busyWorker draws a worker with tasks of a speculative step, or any if there is none.
+func (d *copyDriver) busyWorker(t *rapid.T) string {
+	var busy []string
+	for _, id := range d.ids {
+		if slices.ContainsFunc(d.fleet.Running(id), func(one cairnbay.WorkflowTask) bool { return d.jobs[one.Job].Steps[0].Speculative }) {
+			busy = append(busy, id)
+		}
+	}
+	if len(busy) == 0 {
+		return d.worker(t)
+	}
+	return rapid.SampledFrom(busy).Draw(t, "busy worker")
+}
+
+// submitBeside fills half of the workers, which gives the bound of discarded work.
+func (d *copyDriver) submitBeside() {
+	d.submit(singleStep("beside", catalogue, 16, cores(4, 100), 15*time.Second), false, 15*time.Second)
+	d.advance(5 * time.Second)
+}
+
+func (d *copyDriver) submitJob(t *rapid.T) {
+	queue := quotes
+	queue.MaxAttempts = copyTestAttempts
+	runTime := time.Duration(rapid.IntRange(300, 1500).Draw(t, "run time")) * time.Millisecond
+	job := singleStep(fmt.Sprint("j", len(d.jobs)), queue, rapid.IntRange(1, 8).Draw(t, "tasks"), cores(4, 100), runTime)
+	job.Steps[0].Speculative = rapid.IntRange(0, 3).Draw(t, "speculative") > 0
+	job.Steps[0].MaxPerWorker = rapid.IntRange(0, 2).Draw(t, "max per worker")
+	d.submit(job, false, runTime)
+}
+
+func (d *copyDriver) takeOver(*rapid.T) {
+	d.config.AttemptBase += 1000
+	d.core = sched.New(d.config)
+	d.recovering, d.pendingStops = true, nil
+	d.core.BeginRecovery()
+	for _, id := range slices.Sorted(maps.Keys(d.jobs)) {
+		d.core.Accept(d.moment(), d.jobs[id], true)
+		if d.cancelled[id] {
+			d.core.Cancel(d.moment(), id)
+		}
+	}
+	for _, record := range d.records {
+		d.core.Replay(d.moment(), record)
+	}
+	for _, id := range d.ids {
+		d.core.SetWorker(cairnbay.WorkerEntry{ID: id, Address: id, Rack: "r-" + id, Capacity: cores(16, 16_000)})
+	}
+}
+
+// check reports what must hold at any time.
+func (d *copyDriver) check(t *rapid.T) {
+	if broken := d.fleet.Broken(); len(broken) > 0 {
+		t.Fatalf("%v", broken)
+	}
+	for _, id := range d.ids {
+		perStep := make(map[string]int)
+		for _, running := range d.fleet.Running(id) {
+			perStep[running.Job]++
+		}
+		for job, count := range perStep {
+			if limit := d.jobs[job].Steps[0].MaxPerWorker; limit > 0 && count > limit {
+				t.Fatalf("%d tasks of %s on %s", count, job, id)
+			}
+		}
+	}
+	for task, failures := range d.failures {
+		if failures > copyTestAttempts {
+			t.Fatalf("%v has failed %d times", task, failures)
+		}
+	}
+}
+
+// finish ends the faults and expects every job to end and nothing to run after it.
+func (d *copyDriver) finish(t *rapid.T) {
+	d.failShare = 0
+	for _, id := range d.ids {
+		d.fleet.Slow(id, 1)
+		d.heal(id)
+	}
+	d.advance(60 * time.Second)
+	d.check(t)
+	for id := range d.jobs {
+		if state := d.core.State(id); state == cairnbay.WorkflowRunning || state == cairnbay.WorkflowPending {
+			t.Fatalf("%s is %v", id, state)
+		}
+	}
+	if counts := d.core.Counts(); counts.Running != 0 || counts.Waiting != 0 {
+		t.Fatalf("counts %+v", counts)
+	}
+}
+
+func (d *copyDriver) heal(id string) {
+	d.fleet.Cut(id, false)
+	delete(d.cut, id)
+	delete(d.lapsed, id)
+}
+
+// TestCopies guards against two runs of a task that is not speculative, tasks that are
+// lost or run on after their job, and counts that a second attempt upsets, through
+// takeovers, cancellations, failures and losses of workers.
+func TestCopies(t *testing.T) {
+	copies := 0
+	rapid.Check(t, func(t *rapid.T) {
+		d := newCopyDriver()
+		d.submitBeside()
+		t.Repeat(map[string]func(*rapid.T){
+			"": d.check, "submit": d.submitJob, "submit2": d.submitJob, "takeover": d.takeOver,
+			"time": func(t *rapid.T) {
+				d.advance(time.Duration(rapid.IntRange(1, 60).Draw(t, "steps")) * 20 * time.Millisecond)
+			},
+			"slow": func(t *rapid.T) { d.fleet.Slow(d.busyWorker(t), 5); d.advance(400 * time.Millisecond) },
+			"hang": func(t *rapid.T) { d.fleet.Slow(d.busyWorker(t), 1000); d.advance(400 * time.Millisecond) },
+			"fast": func(t *rapid.T) { d.fleet.Slow(d.worker(t), 1) },
+			"fail": func(t *rapid.T) { d.failShare = rapid.SampledFrom([]float64{0, 0.2}).Draw(t, "share") },
+			"cut": func(t *rapid.T) {
+				id := d.busyWorker(t)
+				d.fleet.Cut(id, true)
+				if _, ok := d.cut[id]; !ok {
+					d.cut[id] = d.now
+				}
+			},
+			"heal":  func(t *rapid.T) { d.heal(d.worker(t)) },
+			"crash": func(t *rapid.T) { id := d.busyWorker(t); d.heal(id); d.fleet.CrashFor(id) },
+			"cancel": func(t *rapid.T) {
+				if len(d.jobs) > 0 {
+					id := rapid.SampledFrom(slices.Sorted(maps.Keys(d.jobs))).Draw(t, "job")
+					d.cancelled[id] = true
+					d.core.Cancel(d.moment(), id)
+				}
+			},
+		})
+		d.finish(t)
+		copies += d.copies
+	})
+	if copies == 0 {
+		t.Fatal("no task was copied")
+	}
+	t.Logf("%d copies", copies)
+}
+
+var _ = Describe("a speculative task of which two attempts run", func() {
+	var d *copyDriver
+	BeforeEach(func() {
+		d = newCopyDriver()
+		job := singleStep("j", quotes, 8, cores(4, 100), 600*time.Millisecond)
+		job.Steps[0].Speculative, job.Steps[0].MaxPerWorker = true, 3
+		d.submitBeside()
+		d.submit(job, false, 600*time.Millisecond)
+		for _, id := range d.ids[1:] {
+			if slices.ContainsFunc(d.fleet.Running(id), func(one cairnbay.WorkflowTask) bool { return one.Job == "j" }) {
+				d.fleet.Slow(id, 6)
+				break
+			}
+		}
+		for d.copies == 0 && d.now < 20*time.Second {
+			d.advance(50 * time.Millisecond)
+		}
+		Expect(d.copies).To(BeNumerically(">", 0))
+	})
+	It("is done once the first ends, and the other is stopped", func() {
+		d.advance(time.Second)
+		Expect(d.completed).To(HaveKey("j"))
+		Expect(d.stops[sched.CauseDone]).To(BeNumerically(">=", 1))
+	})
+	It("has no attempt left after a cancellation", func() {
+		d.core.Cancel(d.moment(), "j")
+		d.advance(time.Second)
+		Expect(d.core.Counts().Running).To(Equal(16))
+	})
+	It("keeps both attempts through a takeover", func() {
+		starts := d.fleet.Starts()
+		d.takeOver(nil)
+		d.advance(time.Second)
+		Expect(d.completed).To(HaveKey("j"))
+		Expect(d.fleet.Starts()).To(Equal(starts))
+		Expect(d.stops).NotTo(HaveKey(sched.CauseOrphan))
+	})
+	AfterEach(func() { Expect(d.fleet.Broken()).To(BeEmpty()) })
+})
--- a/internal/process/sched/progress.go
+++ b/internal/process/sched/progress.go
@@ -26,8 +26,11 @@
 	// last report before an end stays at it.
 	maxJudgedPercent = 95
 	// minSiblings is the number of runs of a step, finished or in progress, from which
-	// their median is used instead of the declared time. A slow run is the minority.
+	// they are used instead of the declared time: the run time that one in siblingPart
+	// does not exceed. Up to two thirds may be slow, since a step often has half of its
+	// tasks on one worker.
 	minSiblings = 3
+	siblingPart = 3
 	// minSiblingPercent is the progress from which a run in progress counts as sibling.
 	minSiblingPercent = 10
 	// maxMeasured bounds the run times that are kept of a step.
@@ -64,9 +67,9 @@
 	samples []sample
 	// reportedAt is the boot time at which the last sample was handled.
 	reportedAt time.Duration
-	// rate is the recent rate in percent a second, at most, and best the highest one so
-	// far, at least; 0 for unknown.
-	rate, best float64
+	// rate is the recent rate in percent a second at most, leastRate at least, and best
+	// the highest leastRate so far; 0 for unknown.
+	rate, leastRate, best float64
 	// unchanged is set while no sample of the window differs.
 	unchanged bool
 	// slowdown is the expected rate on a healthy worker divided by rate, 0 for unknown.
@@ -91,10 +94,10 @@
 	p.updateRate()
 }
 
-// updateRate computes the rate. A percent is added to what was made, since progress is
-// rounded down, and taken off for the best rate.
+// updateRate computes the rates: progress is rounded down, so that up to a percent more
+// or less was made.
 func (p *progress) updateRate() {
-	p.rate, p.unchanged = 0, false
+	p.rate, p.leastRate, p.unchanged = 0, 0, false
 	if len(p.samples) < 2 {
 		return
 	}
@@ -110,7 +113,8 @@
 	}
 	made := float64(last.percent - first.percent)
 	p.rate = max(made+1, 1) / window
-	p.best = max(p.best, (made-1)/window)
+	p.leastRate = max(made-1, 0) / window
+	p.best = max(p.best, p.leastRate)
 	p.unchanged = made <= 0
 }
 
@@ -172,13 +176,14 @@
 		p.slow, p.slowdown = false, 0
 		if p.rate > 0 && p.percent() < maxJudgedPercent {
 			expected, certain := c.expectedRunTime(now, a.stage)
-			p.slowdown = 100 / (p.rate * expected.Seconds() * w.slowness())
+			usualRate := 100 / (expected.Seconds() * w.slowness())
+			p.slowdown = usualRate / p.rate
 			limit := slowFactor
 			if !certain && !w.disturbed(now) {
 				limit = uncertainSlowFactor
 			}
 			p.slow = p.slowdown >= limit || p.dropped()
-			steady = steady || !p.slow && p.slowdown <= steadyFactor
+			steady = steady || !p.slow && p.leastRate*steadyFactor >= usualRate
 		}
 		if p.slow {
 			slow, p.everSlow = true, true
@@ -217,7 +222,7 @@
 	kept.at, kept.certain = now.BootTime, len(runTimes) >= minSiblings
 	if kept.certain {
 		slices.Sort(runTimes)
-		kept.runTime = runTimes[len(runTimes)/2]
+		kept.runTime = runTimes[(len(runTimes)-1)/siblingPart]
 	} else {
 		kept.runTime = max(c.runTime(stage.job.workflow.Queue.Name, stage.spec), time.Millisecond)
 	}
--- a/internal/process/sched/simulation_test.go
+++ b/internal/process/sched/simulation_test.go
@@ -81,6 +81,10 @@
 	// 0 for holdInterval.
 	holdPeriod time.Duration
 	heldAt     map[string]time.Duration
+	// records are those in the store.
+	records []sched.Record
+	// fails says whether an attempt fails; nil for none.
+	fails func(task cairnbay.WorkflowTask, attempt int) bool
 	// eachStep is called before each step of the simulation, if it is set.
 	eachStep func()
 }
@@ -113,6 +117,9 @@
 			}
 			return runTime
 		},
+		Fails: func(task cairnbay.WorkflowTask, attempt int) bool {
+			return sim.fails != nil && sim.fails(task, attempt)
+		},
 		Copies: func(task cairnbay.WorkflowTask) bool { return sim.jobs[task.Job].Steps[task.Step].Speculative },
 		Saves: func(task cairnbay.WorkflowTask) time.Duration {
 			if !sim.jobs[task.Job].Steps[task.Step].Checkpoints {
@@ -171,7 +178,7 @@
 		Token: token, LeaseEnd: sim.now + lease, Acked: sim.acked[id],
 	})
 	if errors.Is(err, cairnbay.ErrReplaced) {
-		sim.core.RecordsStored(sim.core.HandleWorkerLoss(sim.moment(), id, sched.LossCrashed).Records)
+		sim.store(sim.core.HandleWorkerLoss(sim.moment(), id, sched.LossCrashed).Records)
 		sim.ids = slices.DeleteFunc(sim.ids, func(other string) bool { return other == id })
 	}
 	if err != nil {
@@ -180,11 +187,17 @@
 	}
 	sim.core.SetReachable(sim.moment(), id, true)
 	result := sim.core.HandleHold(sim.moment(), id, sent, state)
-	sim.core.RecordsStored(result.Records)
+	sim.store(result.Records)
 	sim.acked[id] = result.LastSequence
 	return result
 }
 
+// store keeps records for the next owner.
+func (sim *simulation) store(records []sched.Record) {
+	sim.records = append(sim.records, records...)
+	sim.core.RecordsStored(records)
+}
+
 func (sim *simulation) plan() {
 	sim.execute(sim.core.Plan(sim.moment()))
 }
