--- a/internal/process/sched/copy_test.go
+++ b/internal/process/sched/copy_test.go
@@ -14,6 +14,7 @@
 	"pgregory.net/rapid"
 
 	"cairnbay"
+	"cairnbay/internal/fake/agent"
 	"cairnbay/internal/process/sched"
 )
 
@@ -177,6 +178,15 @@
 	}
 }
 
+// crash crashes a worker unless it is away already, which would keep it away for ever.
+func (d *copyDriver) crash(t *rapid.T) {
+	id := d.busyWorker(t)
+	if slices.ContainsFunc(d.fleet.Lives(), func(life agent.Life) bool { return life.ID == id }) {
+		d.heal(id)
+		d.fleet.CrashFor(id)
+	}
+}
+
 func (d *copyDriver) heal(id string) {
 	d.fleet.Cut(id, false)
 	delete(d.cut, id)
@@ -208,7 +218,7 @@
 				}
 			},
 			"heal":  func(t *rapid.T) { d.heal(d.worker(t)) },
-			"crash": func(t *rapid.T) { id := d.busyWorker(t); d.heal(id); d.fleet.CrashFor(id) },
+			"crash": d.crash,
 			"cancel": func(t *rapid.T) {
 				if len(d.jobs) > 0 {
 					id := rapid.SampledFrom(slices.Sorted(maps.Keys(d.jobs))).Draw(t, "job")
