--- a/internal/process/sched/job.go
+++ b/internal/process/sched/job.go
@@ -54,9 +54,10 @@
 	waiting int
 	done    int
 	// measured are the last run times of done tasks, on a worker of usual speed, and
-	// expected is the run time that follows from them.
+	// expected is the run time that follows from them and from the reports of progress.
 	measured []time.Duration
 	expected expectedTime
+	reports  uint64
 	// longestRunTime is the longest measured run time of a done task.
 	longestRunTime time.Duration
 	// gangFailures are the failed attempts of a gang, crashes the crashes of workers
--- a/internal/process/sched/progress.go
+++ b/internal/process/sched/progress.go
@@ -158,6 +158,7 @@
 	}
 	a.progress.add(sample{clock, percent})
 	a.progress.reportedAt = now.BootTime
+	a.stage.reports++
 }
 
 // judgeProgress compares the attempts on a worker that has reported with what is
@@ -173,20 +174,10 @@
 		if p.reportedAt != now.BootTime || !judgesProgress(a) {
 			continue
 		}
-		p.slow, p.slowdown = false, 0
-		if p.rate > 0 && p.percent() < maxJudgedPercent {
-			expected, certain := c.expectedRunTime(now, a.stage)
-			usualRate := 100 / (expected.Seconds() * w.slowness())
-			p.slowdown = usualRate / p.rate
-			limit := slowFactor
-			if !certain && !w.disturbed(now) {
-				limit = uncertainSlowFactor
-			}
-			p.slow = p.slowdown >= limit || p.dropped()
-			steady = steady || !p.slow && p.leastRate*steadyFactor >= usualRate
-		}
-		if p.slow {
-			slow, p.everSlow = true, true
+		usualRate := c.judgeRate(now, a)
+		slow = slow || p.slow
+		steady = steady || usualRate > 0 && !p.slow && p.leastRate*steadyFactor >= usualRate
+		if p.slow || p.slowdown >= slowFactor {
 			c.slow[a] = struct{}{}
 		} else {
 			delete(c.slow, a)
@@ -197,18 +188,43 @@
 		w.disturbedUntil, w.steadyAt = 0, now.BootTime
 	case slow:
 		w.steadyAt = 0
-		if !w.disturbed(now) {
-			w.disturbedSince = now.BootTime
-		}
-		w.disturbedUntil = now.BootTime + disturbedTime
+		w.markDisturbed(now)
+	}
+}
+
+// judgeRate decides whether the rate of an attempt is slow by what is known of its step
+// now, and returns the usual rate; 0 if the rate cannot be judged.
+func (c *Core) judgeRate(now Moment, a *attempt) (usualRate float64) {
+	p, w := &a.progress, a.worker
+	p.slow, p.slowdown = false, 0
+	if p.rate == 0 || p.percent() >= maxJudgedPercent {
+		return 0
+	}
+	expected, certain := c.expectedRunTime(now, a.stage)
+	usualRate = 100 / (expected.Seconds() * w.slowness())
+	p.slowdown = usualRate / p.rate
+	limit := slowFactor
+	if !certain && !w.disturbed(now) {
+		limit = uncertainSlowFactor
+	}
+	p.slow = p.slowdown >= limit || p.dropped()
+	p.everSlow = p.everSlow || p.slow
+	return usualRate
+}
+
+// markDisturbed marks a worker of which nothing has progressed as expected since.
+func (w *worker) markDisturbed(now Moment) {
+	if !w.disturbed(now) {
+		w.disturbedSince = now.BootTime
 	}
+	w.disturbedUntil = now.BootTime + disturbedTime
 }
 
 // expectedRunTime is the expected run time of a task of the step on a worker of usual
 // speed. It is certain if it follows from other runs of the same step.
 func (c *Core) expectedRunTime(now Moment, stage *stage) (expected time.Duration, certain bool) {
 	kept := &stage.expected
-	if kept.runTime > 0 && now.BootTime-kept.at < expectedTimeValidity {
+	if kept.runTime > 0 && now.BootTime-kept.at < expectedTimeValidity && (kept.certain || kept.reports == stage.reports) {
 		return kept.runTime, kept.certain
 	}
 	runTimes := slices.Clone(stage.measured)
@@ -219,7 +235,7 @@
 			}
 		}
 	}
-	kept.at, kept.certain = now.BootTime, len(runTimes) >= minSiblings
+	kept.at, kept.reports, kept.certain = now.BootTime, stage.reports, len(runTimes) >= minSiblings
 	if kept.certain {
 		slices.Sort(runTimes)
 		kept.runTime = runTimes[(len(runTimes)-1)/siblingPart]
@@ -233,6 +249,8 @@
 type expectedTime struct {
 	at, runTime time.Duration
 	certain     bool
+	// reports is the number of reports from which it was computed.
+	reports uint64
 }
 
 // predictedRunTime extrapolates a run in progress to a worker of usual speed.
--- a/internal/process/sched/sched.go
+++ b/internal/process/sched/sched.go
@@ -84,7 +84,7 @@
 	givenUp []GivenUp
 	// trials is the sum of the weights of the attempts on trial, in thousandths.
 	trials int
-	// slow holds the attempts whose progress was slow in their last report, discards
+	// slow holds the attempts whose last report may show slow progress, discards
 	// what moves and copies discard, and relocations those since the last
 	// TakeRelocations.
 	slow        map[*attempt]struct{}
--- a/internal/process/sched/straggler.go
+++ b/internal/process/sched/straggler.go
@@ -190,7 +190,7 @@
 	case w.unreachable:
 		// The run cannot be stopped for certain.
 		return straggler{}, false
-	case !judgesProgress(a) || a.stopCause != "" || !p.slow || !p.fresh(now):
+	case !judgesProgress(a) || a.stopCause != "" || !p.fresh(now) || !c.stillSlow(now, a):
 		return straggler{}, false
 	case !p.unchanged && !p.dropped() && now.BootTime-w.steadyAt <= progressWindow:
 		// Others progress as expected on the same worker, so the task is a long one.
@@ -227,6 +227,15 @@
 	return straggler{a, copies, remaining, gain, discarded}, true
 }
 
+// stillSlow judges a run again: reports of its siblings may have come after its own.
+func (c *Core) stillSlow(now Moment, a *attempt) bool {
+	c.judgeRate(now, a)
+	if a.progress.slow && now.BootTime-a.worker.steadyAt > progressWindow {
+		a.worker.markDisturbed(now)
+	}
+	return a.progress.slow
+}
+
 // predictedRemaining predicts how much longer a slow run takes: it goes on at its recent
 // rate until the worker recovers, and then at the usual one.
 func (c *Core) predictedRemaining(now Moment, a *attempt, expected time.Duration) time.Duration {
