--- a/internal/process/sched/copy_test.go
+++ b/internal/process/sched/copy_test.go
@@ -33,6 +33,8 @@
 	failures  map[cairnbay.WorkflowTask]int
 	failShare float64
 	copies    int
+	// copiedFrom and copiedTo are the workers of the last copy.
+	copiedFrom, copiedTo string
 }
 
 const copyTestAttempts = 3
@@ -64,6 +66,7 @@
 	for _, relocation := range d.core.TakeRelocations() {
 		if relocation.Copy {
 			d.copies++
+			d.copiedFrom, d.copiedTo = relocation.Worker, relocation.Target
 		}
 	}
 	for id, since := range d.cut {
@@ -209,7 +212,7 @@
 			"slow": func(t *rapid.T) { d.fleet.Slow(d.busyWorker(t), 5); d.advance(400 * time.Millisecond) },
 			"hang": func(t *rapid.T) { d.fleet.Slow(d.busyWorker(t), 1000); d.advance(400 * time.Millisecond) },
 			"fast": func(t *rapid.T) { d.fleet.Slow(d.worker(t), 1) },
-			"fail": func(t *rapid.T) { d.failShare = rapid.SampledFrom([]float64{0, 0.2}).Draw(t, "share") },
+			"fail": func(t *rapid.T) { d.failShare = rapid.SampledFrom([]float64{0, 0.5}).Draw(t, "share") },
 			"cut": func(t *rapid.T) {
 				id := d.busyWorker(t)
 				d.fleet.Cut(id, true)
@@ -260,6 +263,24 @@
 		Expect(d.completed).To(HaveKey("j"))
 		Expect(d.stops[sched.CauseDone]).To(BeNumerically(">=", 1))
 	})
+	It("is done if the first attempt ends first, and the copy is stopped", func() {
+		for _, id := range d.ids {
+			d.fleet.Slow(id, 1)
+		}
+		d.fleet.Slow(d.copiedTo, 100)
+		d.advance(1500 * time.Millisecond)
+		Expect(d.completed).To(HaveKey("j"))
+		Expect(d.core.Counts().Running).To(Equal(16))
+	})
+	It("goes on as a copy alone after the crash of the first worker, without another start", func() {
+		starts := d.fleet.Starts()
+		d.store(d.core.HandleWorkerLoss(d.moment(), d.copiedFrom, sched.LossCrashed).Records)
+		d.ids = slices.DeleteFunc(d.ids, func(id string) bool { return id == d.copiedFrom })
+		d.fleet.Crash(d.copiedFrom)
+		d.advance(2 * time.Second)
+		Expect(d.completed).To(HaveKey("j"))
+		Expect(d.fleet.Starts()).To(Equal(starts))
+	})
 	It("has no attempt left after a cancellation", func() {
 		d.core.Cancel(d.moment(), "j")
 		d.advance(time.Second)
@@ -275,3 +296,35 @@
 	})
 	AfterEach(func() { Expect(d.fleet.Broken()).To(BeEmpty()) })
 })
+
+var _ = Describe("attempts of one task that a new owner finds", func() {
+	DescribeTable("go on up to two, of a speculative step and within the attempts that may fail", func(speculative bool, failures, workers, stopped int) {
+		core := sched.New(sched.Config{AttemptBase: successionBase, StopTime: config.StopTime, Retention: time.Minute, Stragglers: true})
+		now := sched.Moment{BootTime: time.Second}
+		job := singleStep("j", quotes, 1, cores(4, 100), time.Second)
+		job.Queue.MaxAttempts, job.Steps[0].Speculative = copyTestAttempts, speculative
+		core.Accept(now, job, true)
+		for i := range failures {
+			core.Replay(now, sched.Record{Kind: sched.RecordFailed, Task: task("j", 0), Attempt: 1 + i})
+		}
+		core.BeginRecovery()
+		for i := range workers {
+			id := nthID(cairnbay.Queue{Name: "w"}, i)
+			core.SetWorker(cairnbay.WorkerEntry{ID: id, Address: id, Capacity: cores(4, 4000)})
+			core.HandleHold(now, id, now.BootTime, runs(cairnbay.AgentTask{Task: task("j", 0), Attempt: formerAttempt + i, Percent: 10}))
+		}
+		core.EndRecovery()
+		stops := 0
+		for _, action := range core.Plan(now) {
+			Expect(action.Start).To(BeNil())
+			Expect(action.Stop.Cause).To(Equal(sched.CauseOrphan))
+			stops++
+		}
+		Expect(stops).To(Equal(stopped))
+	},
+		Entry("both of two", true, 0, 2, 0),
+		Entry("two of three", true, 0, 3, 1),
+		Entry("one of two of a step that is not speculative", false, 0, 2, 1),
+		Entry("one of two where both could fail for good", true, 2, 2, 1),
+	)
+})
