--- a/internal/process/sched/bench_test.go
+++ b/internal/process/sched/bench_test.go
@@ -54,9 +54,50 @@
 	}
 }
 
+// BenchmarkPlanWithStragglers measures HandleHold, Tick and Plan while every worker reports
+// its attempts and a tenth of the workers hang, without and with mitigation.
+func BenchmarkPlanWithStragglers(b *testing.B) {
+	const workers, waiting, runTime = 800, 2000, 8 * time.Second
+	for _, stragglers := range []bool{false, true} {
+		b.Run(fmt.Sprintf("stragglers=%v", stragglers), func(b *testing.B) {
+			mitigating := config
+			mitigating.Stragglers = stragglers
+			core, now := newFullCoreWith(mitigating, workers, waiting, runTime)
+			running := make(map[string][]cairnbay.AgentTask)
+			for _, action := range core.Plan(now) {
+				core.HandleStart(now, action.Start, nil)
+				id := action.Start.Target.Worker
+				running[id] = append(running[id], cairnbay.AgentTask{Task: action.Start.Task, Attempt: action.Start.Attempt})
+			}
+			for n := range b.N {
+				now.BootTime += 600 * time.Microsecond
+				id := nthID(cairnbay.Queue{Name: "w"}, n%workers)
+				elapsed := (now.BootTime - time.Second).Seconds()
+				if n%10 > 0 {
+					for i := range running[id] {
+						running[id][i].Percent = min(int(100*elapsed/runTime.Seconds()), 94)
+					}
+				}
+				core.HandleHold(now, id, now.BootTime, cairnbay.AgentState{Clock: now.BootTime, Running: running[id]})
+				if n%50 == 0 {
+					core.Tick()
+				}
+				core.Plan(now)
+			}
+		})
+	}
+}
+
 // newFullCore returns a core with full workers and jobs of ten waiting tasks
 // each.
 func newFullCore(workers, waiting int) (*sched.Core, sched.Moment) {
+	core, now := newFullCoreWith(config, workers, waiting, time.Minute)
+	core.Plan(now)
+	return core, now
+}
+
+// newFullCoreWith is newFullCore before the first plan.
+func newFullCoreWith(config sched.Config, workers, waiting int, runTime time.Duration) (*sched.Core, sched.Moment) {
 	core := sched.New(config)
 	now := sched.Moment{BootTime: time.Second}
 	for i := range workers {
@@ -65,8 +106,7 @@
 		core.HandleHold(now, id, now.BootTime, cairnbay.AgentState{})
 	}
 	for n := range (workers*8 + waiting) / 10 {
-		core.Accept(now, singleStep(nthID(models, n), models, 10, cores(1, 100), time.Minute), false)
+		core.Accept(now, singleStep(nthID(models, n), models, 10, cores(1, 100), runTime), false)
 	}
-	core.Plan(now)
 	return core, now
 }
--- a/internal/process/sched/sched.go
+++ b/internal/process/sched/sched.go
@@ -84,10 +84,11 @@
 	givenUp []GivenUp
 	// trials is the sum of the weights of the attempts on trial, in thousandths.
 	trials int
-	// slow holds the attempts whose last report may show slow progress, discards
-	// what moves and copies discard, and relocations those since the last
-	// TakeRelocations.
+	// slow holds the attempts whose last report may show slow progress, assessedAt is
+	// when they were last considered, discards counts what moves and copies discard,
+	// and relocations lists those since the last TakeRelocations.
 	slow        map[*attempt]struct{}
+	assessedAt  time.Duration
 	discards    discards
 	relocations []Relocation
 	// disturbedWorkers is the number of disturbed workers at the last tick, plannedAt the
--- a/internal/process/sched/straggler.go
+++ b/internal/process/sched/straggler.go
@@ -24,8 +24,9 @@
 	// silenceBeforeCopy is how long a worker must be silent before speculative tasks
 	// that run there are copied; a single lost answer is made good sooner.
 	silenceBeforeCopy = 500 * time.Millisecond
-	// assessInterval is the least time between two considerations of one run.
-	assessInterval = 100 * time.Millisecond
+	// assessInterval is the least time between two considerations of the slow runs: plans
+	// may follow each other within a millisecond.
+	assessInterval = 50 * time.Millisecond
 	// maxTargetSearches bounds the searches for an idle worker in one plan, each of which
 	// looks at all workers.
 	maxTargetSearches = 16
@@ -88,6 +89,10 @@
 		c.discards.count(now, c.sortedWorkers)
 		c.surveyWorkers(now)
 	}
+	if len(c.slow) == 0 || now.BootTime-c.assessedAt < assessInterval {
+		return nil
+	}
+	c.assessedAt = now.BootTime
 	searches := 0
 	fruitless := make(map[*stage]bool)
 	for _, s := range c.findStragglers(now) {
@@ -140,10 +145,6 @@
 func (c *Core) findStragglers(now Moment) []straggler {
 	var found []straggler
 	for a := range c.slow {
-		if now.BootTime-a.assessedAt < assessInterval {
-			continue
-		}
-		a.assessedAt = now.BootTime
 		if s, ok := c.assess(now, a); ok {
 			found = append(found, s)
 		}
@@ -216,6 +217,7 @@
 		discarded += elsewhere
 	} else {
 		cost += c.config.StopTime
+		discarded += c.config.StopTime
 	}
 	if queue.Advice != nil && !a.stage.advice.anyValid(now.BootTime+c.config.StopTime) {
 		cost += queue.Advice.Decide
--- a/internal/process/sched/straggler_load_test.go
+++ b/internal/process/sched/straggler_load_test.go
@@ -86,20 +86,46 @@
 	return sim
 }
 
+func (sim *simulation) discardedBySlowness() time.Duration {
+	return sim.discarded[sched.CauseStraggling] + sim.discarded[sched.CauseDone]
+}
+
+// watchDiscards follows the largest share of the running time of ten seconds that moves and
+// copies discard. Tasks are of one size.
+func (sim *simulation) watchDiscards() *float64 {
+	const window = 10
+	type totals struct{ ran, discarded time.Duration }
+	var history []totals
+	worst, inner := new(float64), sim.eachStep
+	sim.eachStep = func() {
+		inner()
+		if sim.now%time.Second != 0 {
+			return
+		}
+		history = append(history, totals{sim.ran, sim.discardedBySlowness()})
+		if len(history) > window && sim.now <= disturbanceLoads {
+			last, first := history[len(history)-1], history[len(history)-1-window]
+			*worst = max(*worst, (last.discarded-first.discarded).Seconds()/(last.ran-first.ran).Seconds())
+		}
+	}
+	return worst
+}
+
 var _ = Describe("interactive jobs beside patient work, with a tenth of the workers slow for some seconds", func() {
 	for _, seed := range []uint64{1, 2, 3} {
 		It(fmt.Sprintf("are in time more often if stragglers are moved or copied, within the bound of discarded work (seed %d)", seed), func() {
 			var inTime, patient [2]float64
 			for i, stragglers := range []bool{false, true} {
 				sim := newDisturbedSimulation(seed, stragglers)
+				worst := sim.watchDiscards()
 				sim.replay(quotesBesidePatient(seed), false, 25*time.Second)
 				Expect(sim.fleet.Broken()).To(BeEmpty())
 				inTime[i], _, _ = sim.outcomeShares(quotes.Name)
 				patient[i], _, _ = sim.outcomeShares(catalogue.Name)
-				discarded := sim.discarded[sched.CauseStraggling] + sim.discarded[sched.CauseDone]
-				AddReportEntry("in time", fmt.Sprintf("stragglers %v: quotes %.3f, catalogue %.3f, stops %v, discarded %.4f",
-					stragglers, inTime[i], patient[i], sim.stops, discarded.Seconds()/sim.ran.Seconds()))
-				Expect(discarded.Seconds()).To(BeNumerically("<=", 0.05*sim.ran.Seconds()))
+				discarded := sim.discardedBySlowness()
+				AddReportEntry("in time", fmt.Sprintf("stragglers %v: quotes %.3f, catalogue %.3f, stops %v, discarded %.4f, at most %.4f in ten seconds",
+					stragglers, inTime[i], patient[i], sim.stops, discarded.Seconds()/sim.ran.Seconds(), *worst))
+				Expect(*worst).To(BeNumerically("<=", 0.05))
 			}
 			Expect(inTime[1]).To(BeNumerically(">", inTime[0]+0.05))
 			Expect(patient[1]).To(BeNumerically(">=", patient[0]-0.02))
--- a/internal/process/sched/straggler_test.go
+++ b/internal/process/sched/straggler_test.go
@@ -146,7 +146,7 @@
 		Entry("on evidence that is older than a second", none,
 			runCase{queue: quotes, declared: 600 * time.Millisecond, own: []int{16}, siblings: []int{83}, late: true}),
 		Entry("on a worker that is silent since", none,
-			runCase{queue: quotes, declared: 600 * time.Millisecond, own: []int{50}, siblings: []int{83}, silent: true}),
+			runCase{queue: quotes, declared: 600 * time.Millisecond, own: []int{16}, siblings: []int{83}, silent: true}),
 		Entry("on a worker that is silent since, speculative", dup,
 			runCase{queue: quotes, declared: 600 * time.Millisecond, own: []int{50}, siblings: []int{83}, silent: true, speculative: true}),
 		Entry("five times slower than before, patient, with a checkpoint", move,
--- a/internal/process/sched/worker.go
+++ b/internal/process/sched/worker.go
@@ -94,8 +94,6 @@
 	percentAt time.Duration
 	// progress is the recent progress, for attempts whose slowness counts.
 	progress progress
-	// assessedAt is when a move or copy of the attempt was last considered.
-	assessedAt time.Duration
 	// stopCause is why the attempt is being stopped, empty while it is not.
 	stopCause EndCause
 	// stopSentAt is when the last stop was sent, stopAnsweredAt when one was
