--- a/internal/process/drive/drive.go
+++ b/internal/process/drive/drive.go
@@ -466,6 +466,7 @@
 	var actions []sched.Action
 	if d.ownershipConfirmed(now.BootTime) {
 		actions = d.core.Plan(now)
+		d.logRelocations()
 	}
 	d.countStarts(actions)
 	d.observeHeldStarts(now.BootTime)
--- a/internal/process/drive/meters.go
+++ b/internal/process/drive/meters.go
@@ -56,6 +56,12 @@
 	m.counter("cairnbay_attempts_unlisted_total", "").Inc()
 }
 
+// attemptRelocated counts a slow run that was moved or copied.
+func (m meters) attemptRelocated(relocation sched.Relocation) {
+	m.counter("cairnbay_attempts_relocated_total", fmt.Sprintf(",kind=%q", relocationKind(relocation))).Inc()
+	m.set.GetOrCreateHistogram(fmt.Sprintf("cairnbay_relocation_gain_seconds{shard=%q}", m.shard)).Update(relocation.Gain.Seconds())
+}
+
 func (m meters) jobGivenUp() {
 	m.counter("cairnbay_jobs_given_up_total", "").Inc()
 }
--- a/internal/process/drive/orders.go
+++ b/internal/process/drive/orders.go
@@ -175,7 +175,7 @@
 	log := d.config.Log.WithFields(logrus.Fields{
 		"job": action.Task.Job, "task": taskIndexes(action.Task), "attempt": action.Attempt,
 		"worker": action.Target.Worker, "waited_ms": action.Waited.Milliseconds(),
-		"resumed": action.Checkpoint != "", "trial": action.Trial,
+		"resumed": action.Checkpoint != "", "trial": action.Trial, "copy": action.Copy,
 	})
 	if err != nil {
 		log.WithError(err).Warn("start failed")
--- a/internal/process/sched/straggler.go
+++ b/internal/process/sched/straggler.go
@@ -344,7 +344,7 @@
 
 // shortestRemainingTime is the estimate for a task with one or two attempts.
 func (c *Core) shortestRemainingTime(now Moment, attempts []*attempt) time.Duration {
-	shortest := time.Duration(indefinite)
+	shortest := indefinite
 	for _, a := range attempts {
 		shortest = min(shortest, c.remainingTime(now, a))
 	}
