--- a/internal/process/drive/drive_test.go
+++ b/internal/process/drive/drive_test.go
@@ -56,9 +56,9 @@
 	// maxSegments and maxGrowth are the number of segments and the bytes of growth
 	// from which owners rewrite the journal.
 	maxSegments, maxGrowth int
-	// lease is the lease that owners grant.
-	lease time.Duration
-
+	// lease is the lease that owners grant, stragglers whether they move slow runs.
+	lease      time.Duration
+	stragglers bool
 	// runTime is how long each task runs, in nanoseconds.
 	runTime atomic.Int64
 }
@@ -109,7 +109,7 @@
 		Advise:       c.advise,
 		MaxSegments:  c.maxSegments,
 		MaxGrowth:    c.maxGrowth,
-		Sched:        sched.Config{Retention: time.Minute, StopTime: 50 * time.Millisecond},
+		Sched:        sched.Config{Retention: time.Minute, StopTime: 50 * time.Millisecond, Stragglers: c.stragglers},
 		OnFenced:     func() {},
 	})
 	owner.SetWorkers(c.entries())
