--- a/internal/process/sched/straggler.go
+++ b/internal/process/sched/straggler.go
@@ -200,7 +200,8 @@
 	expected, _ := c.expectedRunTime(now, a.stage)
 	remaining := c.predictedRemaining(now, a, expected)
 	queue := &a.stage.job.workflow.Queue
-	late := now.BootTime+remaining > a.stage.job.deadline
+	// The deadline is that of the first occurrence.
+	late := a.stage.job.workflow.Occurrences == 0 && now.BootTime+remaining > a.stage.job.deadline
 	resumes := a.task.checkpoint != ""
 	if !late && queue.Priority > urgentPriority && (copies || !resumes) {
 		return straggler{}, false
--- a/workflow.go
+++ b/workflow.go
@@ -54,8 +54,8 @@
 	Rack string
 	// MaxPerWorker limits the step's tasks on one worker; 0 for no limit.
 	MaxPerWorker int
-	// Speculative allows running several copies of a task. The scheduler does not
-	// use it.
+	// Speculative allows running several copies of a task. The scheduler runs at most
+	// two, the second one while the first is slow.
 	Speculative bool
 	// LongRunning means that the tasks run until the job is cancelled.
 	LongRunning bool
