--- a/internal/process/sched/advice.go
+++ b/internal/process/sched/advice.go
@@ -187,8 +187,8 @@
 			return indefinite
 		}
 		for i := range predecessor.tasks {
-			attempt := predecessor.tasks[i].attempt
-			if attempt == nil {
+			attempts := predecessor.tasks[i].attempts()
+			if len(attempts) == 0 {
 				continue
 			}
 			if predecessor.spec.LongRunning {
@@ -196,7 +196,12 @@
 			}
 			// The estimate of the queue is used, whatever is learned: a call later than by it
 			// would be too recent to be repeated when the step is ready.
-			longest = max(longest, attempt.remaining(now, c.runTime(stage.job.workflow.Queue.Name, predecessor.spec)))
+			expected := c.runTime(stage.job.workflow.Queue.Name, predecessor.spec)
+			shortest := indefinite
+			for _, attempt := range attempts {
+				shortest = min(shortest, attempt.remaining(now, expected))
+			}
+			longest = max(longest, shortest)
 		}
 	}
 	return longest
--- a/internal/process/sched/sched.go
+++ b/internal/process/sched/sched.go
@@ -88,6 +88,18 @@
 	givenUp []GivenUp
 	// trials is the sum of the weights of the attempts on trial, in thousandths.
 	trials int
+	// slow holds the attempts whose last report may show slow progress, assessedAt is
+	// when they were last considered, discards counts what moves and copies discard,
+	// and relocations lists those since the last TakeRelocations.
+	slow        map[*attempt]struct{}
+	assessedAt  time.Duration
+	discards    discards
+	relocations []Relocation
+	// disturbedWorkers is the number of disturbed workers at the last tick, plannedAt the
+	// boot time of the last plan, and reservations those of its gangs.
+	disturbedWorkers int
+	plannedAt        time.Duration
+	reservations     gangReservations
 	// maxTrials are the bounds of trials in this plan, not set until a suspect waits.
 	maxTrials trialBounds
 }
@@ -114,6 +126,7 @@
 		workspaces:    make(map[string]*workspace),
 		ledger:        quota.New(),
 		fairness:      newFairness(),
+		slow:          make(map[*attempt]struct{}),
 	}
 }
 
--- a/internal/process/sched/speed.go
+++ b/internal/process/sched/speed.go
@@ -12,9 +12,10 @@
 	// slack. The workers of the users' classes differ by a factor of 1.25 to 2.2, which
 	// outweighs most differences in fit.
 	speedCost = 4.0
-	// disturbedCost is added on a disturbed worker for every stage; it equals the cost of
-	// the usual disturbance, a factor of five, for a stage with little slack.
-	disturbedCost = 6.0
+	// disturbedCost is the placement cost of a disturbed worker; it exceeds that of the
+	// worker on which the task failed last, and for a stage with little slack that of a
+	// factor of five in speed, the usual disturbance.
+	disturbedCost = 8.0
 	// exploreCost is added for each other task of the step on a worker of which little is
 	// known. A worker is best seen against other tasks of the same step on other workers,
 	// and best fit would place all on one.
@@ -101,10 +102,7 @@
 		return 0
 	}
 	cost := 0.0
-	if w.speed.Disturbed() {
-		cost = disturbedCost
-	}
-	if stage.speedWeight != 0 && cost == 0 {
+	if stage.speedWeight != 0 && !w.speed.Disturbed() {
 		cost = stage.speedWeight * speedCost * c.slownessLog(w)
 	}
 	if c.learned.model.Spread().Wide && !w.speed.Certain() {
