--- a/internal/process/drive/access_test.go
+++ b/internal/process/drive/access_test.go
@@ -1,7 +1,9 @@
 package drive_test
 
 import (
+	"bytes"
 	"context"
+	"slices"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -85,13 +87,8 @@
 func (c *cluster) journalHasSteps() bool {
 	listing, err := c.store.List(context.Background(), "cairnbay/journal/")
 	Expect(err).NotTo(HaveOccurred())
-	for _, entry := range listing.Entries {
+	return slices.ContainsFunc(listing.Entries, func(entry cairnbay.Entry) bool {
 		// The name of the queue is a string of one byte in field 1 of the queue's terms.
-		for at := range len(entry.Value) - 2 {
-			if string(entry.Value[at:at+3]) == "\x0a\x01q" {
-				return true
-			}
-		}
-	}
-	return false
+		return bytes.Contains(entry.Value, []byte("\x0a\x01q"))
+	})
 }
--- a/internal/process/node/configuration_test.go
+++ b/internal/process/node/configuration_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -24,9 +23,7 @@
 	// Guards against an older version that replaces a newer one when the store and
 	// another instance report versions at the same time.
 	It("never goes back, whatever the source and the order", func() {
-		logger := logrus.New()
-		logger.SetOutput(io.Discard)
-		n := &Node{config: Config{Log: logger.WithField("test", true), Platform: Platform{
+		n := &Node{config: Config{Log: logrus.NewEntry(&logrus.Logger{}), Platform: Platform{
 			RoutingKey: "config",
 			DecodeRouting: func(value []byte) (cairnbay.Routing, error) {
 				version, err := strconv.ParseUint(string(value), 10, 64)
@@ -66,8 +63,6 @@
 	// Guards against a configuration without tenants that makes instances unready or
 	// callers wait, and against an old version of the keys that nobody notices.
 	It("matters for readiness and for callers' waits only where keys are required", func() {
-		logger := logrus.New()
-		logger.SetOutput(io.Discard)
 		n := &Node{}
 		boot := atomic.Int64{}
 		boot.Store(int64(time.Hour))
@@ -80,7 +75,7 @@
 				return cairnbayv1connect.NewRelayClient(silent.Client(), address)
 			},
 			BootTime: func() time.Duration { return time.Duration(boot.Load()) },
-			Log:      logger.WithField("test", true), Metrics: metrics.NewSet(),
+			Log:      logrus.NewEntry(&logrus.Logger{}), Metrics: metrics.NewSet(),
 		})
 		n.puller.Confirm(time.Hour)
 		boot.Add(int64(pull.MaxAge + time.Second))
--- a/internal/process/pull/pull_test.go
+++ b/internal/process/pull/pull_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"math"
 	"strconv"
 	"sync"
@@ -61,13 +60,11 @@
 }
 
 func (n *network) add(version uint64) *instance {
-	logger := logrus.New()
-	logger.SetOutput(io.Discard)
 	made := &instance{name: fmt.Sprint("n", len(n.instances)), network: n, version: version}
 	made.Puller = pull.New(pull.Config{
 		Current: made.current, Adopt: made.adopt, Peers: made.peers, BootTime: n.boot,
 		Client: func(address string) cairnbayv1connect.RelayClient { return n.instances[address] },
-		Log:    logger.WithField("test", true), Metrics: metrics.NewSet(),
+		Log:    logrus.NewEntry(&logrus.Logger{}), Metrics: metrics.NewSet(),
 	})
 	n.instances[made.name] = made
 	return made
@@ -242,8 +239,8 @@
 	})
 
 	It("confirm by the store's answers, at the time of the request after a suspension", func() {
-		watch := &fakeWatch{}
-		observed := own.Observe(&fakeStore{watch: watch}, 900*time.Millisecond)
+		watch := &fakeStore{}
+		observed := own.Observe(watch, 900*time.Millisecond)
 		_, err := observed.List(ctx, "p")
 		Expect(err).NotTo(HaveOccurred())
 		Expect(own.Age()).To(BeZero())
@@ -264,9 +261,10 @@
 	})
 })
 
+// fakeStore is a store and its only watch, whose events are those of next.
 type fakeStore struct {
 	cairnbay.Store
-	watch *fakeWatch
+	next func() ([]cairnbay.Event, error)
 }
 
 func (*fakeStore) List(context.Context, string) (cairnbay.Listing, error) {
@@ -274,12 +272,8 @@
 }
 
 func (s *fakeStore) Watch(context.Context, string, cairnbay.Revision) (cairnbay.Watch, error) {
-	return s.watch, nil
-}
-
-type fakeWatch struct {
-	cairnbay.Watch
-	next func() ([]cairnbay.Event, error)
+	return s, nil
 }
 
-func (w *fakeWatch) Next(context.Context) ([]cairnbay.Event, error) { return w.next() }
+func (s *fakeStore) Next(context.Context) ([]cairnbay.Event, error) { return s.next() }
+func (*fakeStore) Close() error                                     { return nil }
--- a/internal/request/gate/gate_test.go
+++ b/internal/request/gate/gate_test.go
@@ -50,12 +50,25 @@
 	found, stored atomic.Bool
 	// submitted are the shards to which each job was submitted, by job ID.
 	submitted sync.Map
+	mu        sync.Mutex
+	// scopes are the workspaces that the calls came with; "unlimited" stands for none.
+	scopes []string
+}
+
+func (o *owner) record(scope *cairnbayv1.AccessScope) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if scope == nil {
+		scope = &cairnbayv1.AccessScope{Workspace: "unlimited"}
+	}
+	o.scopes = append(o.scopes, scope.GetWorkspace())
 }
 
 func (o *owner) Submit(
 	_ context.Context, request *connect.Request[cairnbayv1.SubmitWorkflowRequest],
 ) (*connect.Response[cairnbayv1.SubmitWorkflowResponse], error) {
 	o.submits.Add(1)
+	o.record(&cairnbayv1.AccessScope{Workspace: request.Msg.GetWorkflow().GetWorkspace()})
 	shards, _ := o.submitted.LoadOrStore(request.Msg.GetWorkflow().GetId(), &sync.Map{})
 	shards.(*sync.Map).Store(request.Msg.GetShard(), true)
 	if o.dropResponses.Add(-1) >= 0 {
@@ -67,14 +80,16 @@
 }
 
 func (o *owner) Inspect(
-	context.Context, *connect.Request[cairnbayv1.InspectWorkflowRequest],
+	_ context.Context, request *connect.Request[cairnbayv1.InspectWorkflowRequest],
 ) (*connect.Response[cairnbayv1.InspectWorkflowResponse], error) {
+	o.record(request.Msg.GetScope())
 	return connect.NewResponse(&cairnbayv1.InspectWorkflowResponse{Owner: true, State: o.state.Load()}), nil
 }
 
 func (o *owner) Cancel(
-	context.Context, *connect.Request[cairnbayv1.CancelWorkflowRequest],
+	_ context.Context, request *connect.Request[cairnbayv1.CancelWorkflowRequest],
 ) (*connect.Response[cairnbayv1.CancelWorkflowResponse], error) {
+	o.record(request.Msg.GetScope())
 	o.cancels.Add(1)
 	return connect.NewResponse(&cairnbayv1.CancelWorkflowResponse{Owner: true, Found: o.found.Load(), Stored: o.stored.Load()}), nil
 }
--- a/internal/request/gate/keys_test.go
+++ b/internal/request/gate/keys_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -10,13 +9,12 @@
 	"net/http/httptest"
 	"runtime"
 	"strings"
-	"sync"
 	"time"
 
-	"connectrpc.com/connect"
 	"github.com/VictoriaMetrics/metrics"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega/gbytes"
 	"github.com/sirupsen/logrus"
 
 	"cairnbay"
@@ -28,43 +26,6 @@
 	"cairnbay/internal/request/gate"
 )
 
-// scopedOwner is an owner that records the workspaces of the calls it gets.
-type scopedOwner struct {
-	owner
-	mu         sync.Mutex
-	workspaces []string
-}
-
-func (o *scopedOwner) record(workspace string, scoped bool) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if !scoped {
-		workspace = "unlimited"
-	}
-	o.workspaces = append(o.workspaces, workspace)
-}
-
-func (o *scopedOwner) Submit(
-	ctx context.Context, request *connect.Request[cairnbayv1.SubmitWorkflowRequest],
-) (*connect.Response[cairnbayv1.SubmitWorkflowResponse], error) {
-	o.record(request.Msg.GetWorkflow().GetWorkspace(), true)
-	return o.owner.Submit(ctx, request)
-}
-
-func (o *scopedOwner) Inspect(
-	ctx context.Context, request *connect.Request[cairnbayv1.InspectWorkflowRequest],
-) (*connect.Response[cairnbayv1.InspectWorkflowResponse], error) {
-	o.record(request.Msg.GetScope().GetWorkspace(), request.Msg.GetScope() != nil)
-	return o.owner.Inspect(ctx, request)
-}
-
-func (o *scopedOwner) Cancel(
-	ctx context.Context, request *connect.Request[cairnbayv1.CancelWorkflowRequest],
-) (*connect.Response[cairnbayv1.CancelWorkflowResponse], error) {
-	o.record(request.Msg.GetScope().GetWorkspace(), request.Msg.GetScope() != nil)
-	return o.owner.Cancel(ctx, request)
-}
-
 // unreadBody fails the test when it is read.
 type unreadBody struct{}
 
@@ -92,14 +53,14 @@
 	}
 	longKey := strings.Repeat("k", 257)
 	var (
-		remote  *scopedOwner
+		remote  *owner
 		current *cairnbay.Routing
 		handler *gate.Gate
 		set     *metrics.Set
-		out     *syncBuffer
+		out     *gbytes.Buffer
 	)
 	BeforeEach(func() {
-		remote = &scopedOwner{}
+		remote = &owner{}
 		remote.verdict.Store(int32(cairnbayv1.SubmitVerdict_SUBMIT_VERDICT_ACCEPTED))
 		remote.state.Store(uint32(cairnbay.WorkflowRunning))
 		remote.found.Store(true)
@@ -109,7 +70,7 @@
 		server := httptest.NewServer(mux)
 		DeferCleanup(server.Close)
 		current = version(7, workspace("north", northKey, longKey), workspace("south", southKey))
-		out, set = &syncBuffer{}, metrics.NewSet()
+		out, set = gbytes.NewBuffer(), metrics.NewSet()
 		logger := logrus.New()
 		logger.SetOutput(out)
 		noDrive := func(string) *drive.Drive { return nil }
@@ -150,11 +111,11 @@
 			Expect(response.Code).To(Equal(status))
 			if status == http.StatusUnauthorized {
 				Expect(response.Header().Get("WWW-Authenticate")).To(Equal("Token"))
-				Expect(remote.workspaces).To(BeEmpty())
+				Expect(remote.scopes).To(BeEmpty())
 				return
 			}
 			Expect(response.Header()).NotTo(HaveKey("Www-Authenticate"))
-			Expect(remote.workspaces).To(Equal([]string{seen}))
+			Expect(remote.scopes).To(Equal([]string{seen}))
 		},
 		Entry("held key", "POST", "/j", []string{"Token " + northKey}, 200, "north"),
 		Entry("scheme in other case", "POST", "/j", []string{"token " + southKey}, 200, "south"),
@@ -200,7 +161,7 @@
 		current = &cairnbay.Routing{Version: 9, Queues: queues}
 		Expect([]int{submit(northKey), submit(southKey)}).To(Equal([]int{200, 200}))
 		Expect(send(http.MethodGet, "/j", nil).Code).To(Equal(http.StatusOK))
-		Expect(remote.workspaces).To(Equal([]string{"north", "south", "north", "", "", "unlimited"}))
+		Expect(remote.scopes).To(Equal([]string{"north", "south", "north", "", "", "unlimited"}))
 	})
 
 	It("responds with 409 to the ID of another workspace's job, also after a lost response", func() {
@@ -251,7 +212,8 @@
 		Expect(took).To(BeNumerically("<", 3*time.Second))
 		Expect(longest).To(BeNumerically("<", 250*time.Millisecond))
 		Expect(int64(after.HeapAlloc) - int64(before.HeapAlloc)).To(BeNumerically("<", 4<<20))
-		lines := strings.Count(out.String(), "calls refused because of their key")
+		logged := string(out.Contents())
+		lines := strings.Count(logged, "calls refused because of their key")
 		Expect(lines).To(BeNumerically(">=", 1))
 		Expect(lines).To(BeNumerically("<=", int(took/time.Second)+1))
 		_, flooded := remote.submitted.Load("flood")
@@ -259,26 +221,8 @@
 		var metricsText bytes.Buffer
 		set.WritePrometheus(&metricsText)
 		Expect(metricsText.String()).To(ContainSubstring(fmt.Sprintf(`cairnbay_requests_unauthorised_total{reason="unknown"} %d`, second*seconds)))
-		for _, text := range []string{out.String(), metricsText.String()} {
+		for _, text := range []string{logged, metricsText.String()} {
 			Expect(text).NotTo(Or(ContainSubstring("guess-"), ContainSubstring("secret")))
 		}
 	})
 })
-
-// syncBuffer is a buffer that several goroutines may write.
-type syncBuffer struct {
-	mu     sync.Mutex
-	buffer bytes.Buffer
-}
-
-func (b *syncBuffer) Write(text []byte) (int, error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.buffer.Write(text)
-}
-
-func (b *syncBuffer) String() string {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.buffer.String()
-}
