pull: rounds keep their interval while instances do not answer

Cause: a call to an instance that does not answer takes 400 ms, and the next round began 500 ms after it: three rounds instead of six in 3 s. Change: the interval counts from the beginning of a round, and a round after one without an answer asks three instances.

--- a/internal/process/pull/exchange.go
+++ b/internal/process/pull/exchange.go
@@ -47,7 +47,8 @@
 
 // pull asks the instance at an address, and adopts its version if that is newer. The
 // answer confirms the version in force only if the instance does not have an older one.
-func (p *Puller) pull(ctx context.Context, address string) {
+// It returns false if there was no answer.
+func (p *Puller) pull(ctx context.Context, address string) bool {
 	version, _ := p.config.Current()
 	sentAt := p.config.BootTime()
 	response, err := p.config.Client(address).PullConfiguration(ctx,
@@ -56,7 +57,7 @@
 		// The age tells how long no instance has answered; a line for each call would
 		// flood the log in an outage.
 		p.pulls[resultFailed].Inc()
-		return
+		return false
 	}
 	answer := response.Msg
 	outcome := resultCurrent
@@ -79,4 +80,5 @@
 	} else if same {
 		p.checked = true
 	}
+	return true
 }
--- a/internal/process/pull/pull.go
+++ b/internal/process/pull/pull.go
@@ -8,6 +8,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -79,9 +80,11 @@
 	// date as well; hasStaleAnswer is false before the first.
 	staleAnswerAt  time.Duration
 	hasStaleAnswer bool
-	// lastRoundAt is the boot time at which the last finished round began.
+	// lastRoundAt is the boot time at which the last finished round began; unanswered
+	// says that no instance answered in it.
 	// roundDone is closed at the end of the present or next round.
 	lastRoundAt time.Duration
+	unanswered  bool
 	roundDone   chan struct{}
 	// reportedAge says that the age was logged since it rose above MaxAge.
 	reportedAge bool
@@ -110,12 +113,15 @@
 	p.cancel = cancel
 	p.done.Go(func() {
 		for ctx.Err() == nil {
+			startedAt := time.Now()
 			p.Round(ctx)
 			p.reportAge()
 			wait := period
 			if !p.Checked() {
 				wait = startPeriod
 			}
+			// An instance that does not answer must not delay the next round.
+			wait -= time.Since(startedAt)
 			select {
 			case <-ctx.Done():
 			case <-p.wanted:
@@ -132,8 +138,7 @@
 }
 
 // Round asks one instance chosen at random, or urgentPeers of them if the version in
-// force may soon be out of date, and adopts what is newer. An instance chosen in vain
-// is replaced by another in the next round only.
+// force may soon be out of date or the last round had no answer, and adopts what is newer.
 func (p *Puller) Round(ctx context.Context) {
 	startedAt := p.config.BootTime()
 	peers := p.config.Peers()
@@ -143,19 +148,27 @@
 	}
 	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
 	count := 1
-	if p.Age() > urgentAge || !p.Checked() {
+	p.mu.Lock()
+	unanswered := p.unanswered
+	p.mu.Unlock()
+	if unanswered || p.Age() > urgentAge || !p.Checked() {
 		count = urgentPeers
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	var calls sync.WaitGroup
+	var answers atomic.Int32
 	for _, address := range addresses[:min(count, len(addresses))] {
-		calls.Go(func() { p.pull(ctx, address) })
+		calls.Go(func() {
+			if p.pull(ctx, address) {
+				answers.Add(1)
+			}
+		})
 	}
 	calls.Wait()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.lastRoundAt = startedAt
+	p.lastRoundAt, p.unanswered = startedAt, answers.Load() == 0
 	close(p.roundDone)
 	p.roundDone = make(chan struct{})
 }
