--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -88,10 +88,11 @@
 type Node struct {
 	config  Config
 	routing atomic.Pointer[cairnbay.Routing]
-	// shared is the version in force for other instances. adopting is held by
-	// applyRouting, since the store and other instances report versions concurrently.
-	shared   atomic.Pointer[sharedRouting]
-	adopting sync.Mutex
+	// shared is the version in force for other instances. adoptingVersion is
+	// held by applyRouting, since the store and other instances report versions
+	// concurrently.
+	shared          atomic.Pointer[sharedRouting]
+	adoptingVersion sync.Mutex
 	// puller asks other instances for newer versions.
 	puller *pull.Puller
 	// detour calls the store, through another instance while this one cannot
@@ -286,8 +287,8 @@
 // applyRouting adopts changes of the operators' configuration, from the store or from
 // another instance. It ignores versions that are not above the current one.
 func (n *Node) applyRouting(changes []cairnbay.Event) {
-	n.adopting.Lock()
-	defer n.adopting.Unlock()
+	n.adoptingVersion.Lock()
+	defer n.adoptingVersion.Unlock()
 	for _, change := range changes {
 		if change.Entry.Key != n.config.Platform.RoutingKey || change.Kind == cairnbay.EventDelete {
 			continue
