--- a/internal/fake/agent/agent.go
+++ b/internal/fake/agent/agent.go
@@ -58,6 +58,8 @@
 	// current are the latest lives of the workers, by name.
 	current map[string]*worker
 	late    []lateOrder
+	// polledAt is when HasEnds last settled the fleet.
+	polledAt time.Duration
 	// done are the tasks whose end done was acknowledged.
 	done map[cairnbay.WorkflowTask]bool
 	// broken are the violations seen.
--- a/internal/fake/agent/run.go
+++ b/internal/fake/agent/run.go
@@ -129,11 +129,15 @@
 	}
 }
 
-// HasEnds reports whether a worker has ends that are not acknowledged.
+// HasEnds reports whether a worker has ends that are not acknowledged. It may be asked
+// for all workers at one time, so only the first call at a time settles.
 func (f *Fleet) HasEnds(id string, acked uint64) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.settle()
+	if now := f.config.Now(); f.polledAt != now {
+		f.polledAt = now
+		f.settle()
+	}
 	w := f.current[cairnbay.WorkerName(id)]
 	return len(w.ends) > 0 && w.ends[len(w.ends)-1].Sequence > acked
 }
--- a/internal/process/sched/copy.go
+++ b/internal/process/sched/copy.go
@@ -62,7 +62,7 @@
 // mayResumeFrom reports whether checkpoints of an attempt are kept for the next one:
 // those of the latest attempt and, of two live ones, those of the first.
 func (s *stage) mayResumeFrom(task *task, attempt int) bool {
-	if s.spec.Speculative && task.attempt != nil {
+	if task.relocated && task.attempt != nil {
 		if task.attempt.number == attempt {
 			return true
 		}
--- a/internal/process/sched/sched.go
+++ b/internal/process/sched/sched.go
@@ -91,11 +91,11 @@
 	assessedAt  time.Duration
 	discards    discards
 	relocations []Relocation
-	// disturbedWorkers is the number of disturbed workers at the last tick, plannedAt the
-	// boot time of the last plan, and reservations those of its gangs.
-	disturbedWorkers int
-	plannedAt        time.Duration
-	reservations     gangReservations
+	// disturbedWorkers and silentWorkers are counted at each tick. plannedAt is the boot
+	// time of the last plan, reservations are those of its gangs.
+	disturbedWorkers, silentWorkers int
+	plannedAt                       time.Duration
+	reservations                    gangReservations
 	// maxTrials are the bounds of trials in this plan, not set until a suspect waits.
 	maxTrials trialBounds
 }
--- a/internal/process/sched/straggler.go
+++ b/internal/process/sched/straggler.go
@@ -39,6 +39,9 @@
 	// maxAvoidedShare is the share of disturbed workers up to which urgent work waits.
 	// Beyond it the others have no capacity for what it would wait for.
 	maxAvoidedShare = 0.25
+	// maxSilentShare is the share of silent workers up to which their speculative tasks are
+	// copied. If more are silent, the owner is more likely cut off itself, and the runs go on.
+	maxSilentShare = 0.25
 	// urgentPriority is the priority of queues whose tasks are moved without a
 	// checkpoint even if their job is not late yet.
 	urgentPriority = 0
@@ -121,10 +124,10 @@
 	return actions
 }
 
-// surveyWorkers counts the disturbed workers and considers the speculative runs on
-// silent ones.
+// surveyWorkers counts the disturbed and the silent workers, and considers the
+// speculative runs on silent ones.
 func (c *Core) surveyWorkers(now Moment) {
-	c.disturbedWorkers = 0
+	c.disturbedWorkers, c.silentWorkers = 0, 0
 	for _, w := range c.sortedWorkers {
 		if w.disturbed(now) {
 			c.disturbedWorkers++
@@ -132,6 +135,7 @@
 		if !w.unreachable {
 			continue
 		}
+		c.silentWorkers++
 		for _, a := range w.attempts {
 			if a.silent(now) && a.stage != nil && a.stage.spec.Speculative {
 				c.slow[a] = struct{}{}
@@ -187,7 +191,7 @@
 	copies := c.mayCopy(a.stage, a.task)
 	p, w := &a.progress, a.worker
 	switch {
-	case copies && a.silent(now):
+	case copies && a.silent(now) && float64(c.silentWorkers) <= maxSilentShare*float64(len(c.workers)):
 	case w.unreachable:
 		// The run cannot be stopped for certain.
 		return straggler{}, false
