--- a/internal/process/learn/model_test.go
+++ b/internal/process/learn/model_test.go
@@ -265,12 +265,26 @@
 		Expect(math.IsInf(state.Change(next.model.State()), 1)).To(BeTrue())
 		state.Workers = append(state.Workers, learn.WorkerState{ID: "bad", Mean: math.NaN(), Variance: 1, Weight: 1})
 		next.model.Restore(state)
-		next.model.Update(time.Second)
+		// The clock is the time since boot, so that the first update may come at any value.
+		next.model.Update(time.Hour)
 		Expect(next.slownessError()).To(BeNumerically("<", 0.15))
 		Expect(next.model.Spread().Wide).To(BeTrue())
 		Expect(next.model.Predict(kind, nil, nil, declared).Median).To(BeNumerically("~", p.model.Predict(kind, nil, nil, declared).Median, 100*time.Millisecond))
 	})
 
+	It("tries a slow worker again that gets no work", func() {
+		// Guards against a worker that was slow once and is avoided for good.
+		p := newPlant(13, twoKinds()...)
+		for range 60 {
+			p.step(p.some(10)...)
+		}
+		slow := p.model.Slowness(p.workers[0])
+		p.now += 20 * time.Minute
+		p.step(1, 2, 3)
+		Expect(p.model.Slowness(p.workers[0])).To(BeNumerically("<", slow-0.4))
+		Expect(p.workers[0].Certain()).To(BeFalse())
+	})
+
 	It("takes the workers with the same label as the prior of a new one", func() {
 		p := newPlant(11)
 		for n, slowness := range twoKinds() {
--- a/internal/process/learn/state.go
+++ b/internal/process/learn/state.go
@@ -72,7 +72,7 @@
 		}
 		worker.weights = min(restored.Weight*restoredShare, maxWeight)
 		worker.total = worker.weights * restored.Mean
-		worker.evaluate(0)
+		worker.evaluate(m.summarisedAt)
 	}
 	m.changed = true
 }
--- a/internal/process/learn/worker.go
+++ b/internal/process/learn/worker.go
@@ -16,6 +16,8 @@
 	// runs are those of stages that are not closed, and the latest others, oldest first.
 	runs  []*observation
 	dirty bool
+	// evaluatedAt is when the estimate was made, 0 for a restored one.
+	evaluatedAt time.Duration
 	// inStage is used while a stage is evaluated.
 	inStage stageShare
 	// slowness is the usual slowness, variance that of its estimate.
@@ -55,6 +57,9 @@
 	// maxDisturbance is the time after which a worker that is still disturbed is taken to
 	// be slow. Disturbances last about 6 s.
 	maxDisturbance = 20 * time.Second
+	// slownessHalfLife is the time in which folded runs lose half their weight, so that a
+	// worker that gets no work because it was slow is tried again.
+	slownessHalfLife = 2 * time.Minute
 	// maxOpenRuns bounds the runs that are kept, and foldAge their age once their stage is
 	// closed. Until then they are compared with later ones.
 	maxOpenRuns = 32
@@ -131,6 +136,13 @@
 		w.fold(w.runs[0])
 		w.runs = w.runs[1:]
 	}
+	// Restored runs have no time; their weight was reduced by the restore.
+	if w.evaluatedAt > 0 && now > w.evaluatedAt {
+		decay := math.Exp2(-float64(now-w.evaluatedAt) / float64(slownessHalfLife))
+		w.weights *= decay
+		w.total *= decay
+	}
+	w.evaluatedAt = now
 	weights, total := 1/priorSlowness+w.weights, w.prior/priorSlowness+w.total
 	w.usual, w.usualVariance = total/weights, 1/weights
 	w.detectDisturbance(now)
--- a/internal/process/sched/learned.go
+++ b/internal/process/sched/learned.go
@@ -81,6 +81,18 @@
 	return c.runTime(stage.job.workflow.Queue.Name, stage.spec)
 }
 
+// attemptRunTime is runTimeOn of an attempt, as it was predicted at its start: sorts ask
+// for it many times, and progress soon tells more.
+func (c *Core) attemptRunTime(a *attempt) time.Duration {
+	if !c.config.Learn.Reserve {
+		return c.runTime(a.stage.job.workflow.Queue.Name, a.stage.spec)
+	}
+	if a.predicted == 0 {
+		a.predicted = c.predictRunTime(a.stage, a.worker).Median
+	}
+	return a.predicted
+}
+
 // addSpeed makes the model aware of a listed worker. Later runs of its process are as
 // fast.
 func (c *Core) addSpeed(w *worker) {
--- a/internal/process/sched/place.go
+++ b/internal/process/sched/place.go
@@ -239,7 +239,7 @@
 	if a.stage == nil || a.stage.spec.LongRunning {
 		return indefinite
 	}
-	return a.remaining(now, c.runTimeOn(a.stage, a.worker))
+	return a.remaining(now, c.attemptRunTime(a))
 }
 
 // remaining estimates how much longer an attempt runs, by its progress or by the run time
--- a/internal/process/sched/simulation_test.go
+++ b/internal/process/sched/simulation_test.go
@@ -72,6 +72,8 @@
 	// the deviation of the run times of one step, in logarithms.
 	slowness func(worker string) float64
 	noise    float64
+	// disturb changes the slowness of one worker, if it is set.
+	disturb func(factor float64)
 	// onStart is called with each start, if it is set.
 	onStart func(*sched.StartAction)
 	// eachStep is called before each step of the simulation, if it is set.
--- a/internal/process/sched/speed_test.go
+++ b/internal/process/sched/speed_test.go
@@ -135,3 +135,83 @@
 		Expect(placeTrace(sched.LearnUses{Place: true}, sameSpeed)).To(Equal(placeTrace(sched.LearnUses{}, sameSpeed)))
 	})
 })
+
+// newTwoSpeedSimulation has eight workers with room for one task each, of which the first
+// four take twice as long, and a core that knows them.
+func newTwoSpeedSimulation(uses sched.LearnUses) *simulation {
+	sim := newSimulation(sched.Config{StopTime: 200 * time.Millisecond, Retention: time.Hour, Learn: uses})
+	disturbed := 1.0
+	sim.slowness = func(worker string) float64 {
+		switch {
+		case worker == "w007":
+			return disturbed
+		case worker < "w004":
+			return 2
+		}
+		return 1
+	}
+	sim.disturb = func(factor float64) { disturbed = factor }
+	for i := range 8 {
+		sim.addWorker(nthID(cairnbay.Queue{Name: "w"}, i), cores(8, 8000))
+	}
+	for n := range 12 {
+		sim.submit(singleStep(fmt.Sprint("train", n), models, 8, cores(8, 1000), time.Second), false, time.Second)
+		sim.advance(2200 * time.Millisecond)
+	}
+	return sim
+}
+
+var _ = Describe("an urgent task while only slow workers are free", func() {
+	DescribeTable("starts where it ends first", func(busy time.Duration, uses sched.LearnUses, onFast bool) {
+		// Guards against tasks that wait for a fast worker though a slow one finishes sooner.
+		sim := newTwoSpeedSimulation(uses)
+		sim.submit(singleStep("all", quotes, 8, cores(8, 1000), time.Second), false, time.Second)
+		sim.advance(1100 * time.Millisecond)
+		sim.submit(singleStep("fast", quotes, 4, cores(8, 1000), busy), false, busy)
+		sim.advance(time.Second)
+		var started time.Duration
+		worker := ""
+		sim.onStart = func(start *sched.StartAction) { started, worker = sim.now, start.Target.Worker }
+		submitted := sim.now
+		sim.submit(singleStep("urgent", quotes, 1, cores(8, 1000), 600*time.Millisecond), false, 600*time.Millisecond)
+		sim.advance(time.Second)
+		Expect(worker >= "w004").To(Equal(onFast), worker)
+		Expect(started - submitted).To(BeNumerically("<", 500*time.Millisecond))
+	},
+		Entry("on a fast one that is free soon", 1300*time.Millisecond, sched.LearnUses{Place: true, Order: true}, true),
+		Entry("on a slow one at once", 3*time.Second, sched.LearnUses{Place: true, Order: true}, false),
+		Entry("on a slow one without learned speeds", 1300*time.Millisecond, sched.LearnUses{Order: true}, false),
+	)
+})
+
+var _ = Describe("a worker that is five times slower for 6 s", func() {
+	// Guards against interactive tasks on it for all that time, and against a worker that
+	// stays without work afterwards.
+	It("gets few interactive tasks meanwhile, and as many after it as before", func() {
+		sim := newTwoSpeedSimulation(sched.LearnUses{Place: true, Order: true})
+		count := 0
+		sim.onStart = func(start *sched.StartAction) {
+			if start.Target.Worker == "w007" {
+				count++
+			}
+		}
+		submit := func(phase string, seconds int) (starts int) {
+			count = 0
+			for n := range seconds {
+				sim.submit(singleStep(fmt.Sprint(phase, n), quotes, 4, cores(8, 1000), 600*time.Millisecond), false, 600*time.Millisecond)
+				sim.advance(time.Second)
+			}
+			return count
+		}
+		before := submit("before", 12)
+		sim.disturb(5)
+		during := submit("during", 6)
+		sim.disturb(1)
+		submit("recovering", 6)
+		after := submit("after", 12)
+		AddReportEntry("starts", fmt.Sprint(before, during, after))
+		Expect(before).To(BeNumerically(">=", 10))
+		Expect(after).To(BeNumerically(">=", 10))
+		Expect(during).To(BeNumerically("<=", 2))
+	})
+})
