allot: gangs keep what they collect; soak: quotas lowered during faults

In a trial of the soak a gang never collected its part: work that was held back for more than 2 s kept nothing. The limit now holds only for half of the quota and more, of which the 3 s of the requirement can be broken. Nearly all moved parts were single millionths, from the rounding of use; less than one unit is no longer given.

soak -quota N gives the callers' workspace a quota that changes beside faults, and compares what the workers run with it.

--- a/internal/process/allot/ask.go
+++ b/internal/process/allot/ask.go
@@ -319,7 +319,7 @@
 				continue
 			}
 			share := quota.Grant(known.holder.Part(), o.kept(now, core, known, forShard, row.GetLatestStartUnixMs()), asked)
-			if share.IsZero() || known.holder.Pending() || len(writes) >= maxWorkspaces {
+			if share.Of(known.Quota).IsZero() || known.holder.Pending() || len(writes) >= maxWorkspaces {
 				continue
 			}
 			if !tokenTaken && !o.mayTransact() {
@@ -338,9 +338,14 @@
 	return writes, given
 }
 
-// keepTime is how long work that is held back keeps a part that is not enough for it. It
-// is below the 3 s for which other work that fits may have nothing running.
-const keepTime = 2 * time.Second
+const (
+	// keepTime is how long work that is held back keeps half of the quota and more that is
+	// not enough for it. It is below the 3 s for which other work that fits may have nothing
+	// running while less than half of the quota is used. Less may be kept for longer: a gang
+	// collects its part as the tasks of other shards end.
+	keepTime  = 2 * time.Second
+	halfQuota = quota.Whole / 2
+)
 
 // kept is the share that the shard does not give: what it uses, and what its own waiting
 // work needs if that has the earlier latest start.
@@ -352,7 +357,8 @@
 	if !ok || !own.Precedes(quota.Claimant{Shard: forShard, LatestStartUnixMS: latest}) {
 		return kept
 	}
-	if wanted.Missing != (cairnbay.Resources{}) && wanted.HeldFor > keepTime {
+	unused := limitedTo(known.holder.Part().Sub(kept), quota.ShareFor(known.Quota, known.Quota))
+	if wanted.Missing != (cairnbay.Resources{}) && wanted.HeldFor > keepTime && slices.Max(unused[:]) >= halfQuota {
 		return kept
 	}
 	return kept.Max(quota.ShareFor(use.Add(wanted.Wanted), known.Quota))
--- a/internal/tool/soak/callers.go
+++ b/internal/tool/soak/callers.go
@@ -178,6 +178,7 @@
 		return 0, ""
 	}
 	request.Host = host
+	c.world.authenticate(request)
 	response, err := c.client.Do(request)
 	if err != nil {
 		return 0, ""
--- a/internal/tool/soak/faults.go
+++ b/internal/tool/soak/faults.go
@@ -38,6 +38,7 @@
 		length := time.Duration(random.Int64N(int64(lengthMost)))
 		did := faults[random.IntN(len(faults))](ctx, w, random, length)
 		w.faults++
+		w.drawQuota(random)
 		fmt.Fprintf(w.config.Out, "%6.2f s  %s\n", time.Since(began).Seconds(), did)
 	}
 }
--- a/internal/tool/soak/soak.go
+++ b/internal/tool/soak/soak.go
@@ -25,6 +25,9 @@
 	Workers   int
 	// Shards is the number of shards of the workers' class, at least 1.
 	Shards int
+	// Quota is the highest quota of the workspace of all jobs, in tasks; it is lowered and
+	// raised during faults. 0 runs without workspaces.
+	Quota int
 	// KeepNames says that a worker that crashes is back under its name.
 	KeepNames bool
 	// FirstPort is the first port of the first instance.
@@ -61,6 +64,7 @@
 			flags.IntVar(&config.Instances, "instances", config.Instances, "instances to start")
 			flags.IntVar(&config.Workers, "workers", config.Workers, "workers to stand in for")
 			flags.IntVar(&config.Shards, "shards", config.Shards, "shards of the workers' class; the workers stand in racks of two")
+			flags.IntVar(&config.Quota, "quota", config.Quota, "highest quota of the callers' workspace, in tasks of all workers; 0 for no workspaces")
 			flags.BoolVar(&config.KeepNames, "keep-names", config.KeepNames, "bring workers that crash back under their names")
 			flags.IntVar(&config.FirstPort, "port", config.FirstPort, "first `port` of the instances, on loopback")
 			flags.StringVar(&config.Folder, "folder", "", "`folder` for settings and logs (default: a new one, removed after a run that held)")
@@ -100,10 +104,12 @@
 	random := rand.New(rand.NewPCG(config.Seed, 1))
 	calls := newCallers(w)
 	calls.start(ctx)
+	w.watchQuota()
 	w.injectUntil(ctx, random, time.Now().Add(config.Length))
 	w.heal()
 	calls.finish()
 	broken := append(w.fleet.Broken(), calls.check(ctx)...)
+	broken = append(broken, w.quotaBroken()...)
 	calls.summarise()
 	if len(broken) > 0 {
 		for _, one := range broken {
--- a/internal/tool/soak/world.go
+++ b/internal/tool/soak/world.go
@@ -88,6 +88,7 @@
 	began time.Duration
 
 	mu        sync.Mutex
+	quota     quotaCheck
 	processes []*exec.Cmd
 	stopped   bool
 }
@@ -95,6 +96,7 @@
 func newWorld(config Config) (*world, error) {
 	clock := timer.New()
 	w := &world{config: config, clock: clock, store: store.New(store.Config{Clock: clock})}
+	w.quota.tasks = config.Quota
 	w.fleet = agent.New(agent.Config{
 		Now:     timer.Boot,
 		RunTime: func(cairnbay.WorkflowTask) time.Duration { return runTime },
@@ -246,7 +248,7 @@
 // configure writes the next configuration.
 func (w *world) configure() {
 	w.version++
-	w.put(platform.RoutingKey, stand.Config(w.version, class, host, prefix))
+	w.put(platform.RoutingKey, w.withTenants(stand.Config(w.version, class, host, prefix)))
 }
 
 // rackName returns the rack of a worker, which stays with it over its lives.
@@ -339,6 +341,7 @@
 	w.later.Wait()
 	w.store.SetDown(false)
 	w.store.SetSlow(0)
+	w.changeQuota(w.config.Quota)
 	for _, front := range append(w.toStore, w.toWorker...) {
 		front.Set(proxy.Pass)
 	}
