allot: freed room goes to work of other shards that precedes

A gang in one shard never collected its part from another whose small tasks ended one by one: the other's own work took the room before the next request. An unfulfilled request for work with the earlier latest start is now kept for 0.6 s and lowers the part that the core may use, by at most half of the quota. A new configuration has overdrafts told at once.

--- a/internal/process/allot/allot.go
+++ b/internal/process/allot/allot.go
@@ -7,6 +7,7 @@
 	"context"
 	"maps"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -69,6 +70,9 @@
 	// overdraftTime is how long an overdraft of another shard counts after it was told; it
 	// is told anew with each period of requests.
 	overdraftTime = time.Second
+	// claimTime is the same for what another shard lacks for work that precedes: a few
+	// periods of requests.
+	claimTime = 600 * time.Millisecond
 	// heldLogPeriod is the least interval of log lines about starts of one workspace that
 	// are held back.
 	heldLogPeriod = 5 * time.Second
@@ -87,9 +91,13 @@
 	// mirror follows the keys from the first time that they are read.
 	mirror *mirror.Mirror
 	// failedAt is when a call to the owner of a shard last failed, askedAt when the last
-	// requests were made; both are used by run only.
+	// requests were made; run alone uses them.
 	failedAt map[string]time.Duration
 	askedAt  time.Duration
+	// askDueAt is when run is woken for the next requests, not in the future if it is not.
+	askDueAt time.Duration
+	// adopted is set by a new configuration until the next requests.
+	adopted atomic.Bool
 
 	// mu guards the fields below. It may be taken within Core.Edit, not around it.
 	mu         sync.Mutex
@@ -112,15 +120,18 @@
 	// pendingSince is when the holder's pending write began.
 	pendingSince time.Duration
 	// overdrafts are what other shards run above their parts, by shard.
-	overdrafts   map[string]overdraft
+	overdrafts map[string]told
+	// claims are what other shards still lack for work that precedes that of this one.
+	claims       map[string]told
 	heldLoggedAt time.Duration
 }
 
 func newWorkspace(shard string) *workspace {
-	return &workspace{holder: quota.NewHolder(shard), overdrafts: make(map[string]overdraft)}
+	return &workspace{holder: quota.NewHolder(shard), overdrafts: make(map[string]told), claims: make(map[string]told)}
 }
 
-type overdraft struct {
+// told is an amount that another shard has told, and until when it counts.
+type told struct {
 	share quota.Share
 	until time.Duration
 }
@@ -154,6 +165,7 @@
 func (o *Owner) SetWorkspaces(workspaces []cairnbay.Workspace) {
 	o.adopt(workspaces)
 	o.push()
+	o.adopted.Store(true)
 	timer.Signal(o.wake)
 }
 
@@ -185,15 +197,22 @@
 	return terms
 }
 
-// terms returns what the core may use: the part less what other shards run above theirs.
+// terms returns what the core may use: the part less what other shards run above theirs,
+// and less what they claim. Claims leave this shard half of the quota, so that its work is
+// not held back while less than half is used.
 func (w *workspace) terms() sched.WorkspaceTerms {
-	part := w.holder.Part().Sub(w.overdrawnElsewhere())
+	claimed := sum(w.claims).Min(quota.Share{halfQuota, halfQuota, halfQuota})
+	part := w.holder.Part().Sub(w.overdrawnElsewhere()).Sub(claimed)
 	return sched.WorkspaceTerms{Name: w.Name, Weight: w.Weight, Quota: w.Quota, Part: part.Of(w.Quota)}
 }
 
-func (w *workspace) overdrawnElsewhere() (total quota.Share) {
-	for _, told := range w.overdrafts {
-		total = total.Add(told.share)
+func (w *workspace) overdrawnElsewhere() quota.Share {
+	return sum(w.overdrafts)
+}
+
+func sum(amounts map[string]told) (total quota.Share) {
+	for _, one := range amounts {
+		total = total.Add(one.share)
 	}
 	return total
 }
@@ -234,7 +253,7 @@
 		if o.limited() && o.load() {
 			o.create()
 			o.settle()
-			o.expireOverdrafts()
+			o.expire()
 			o.ask()
 		}
 		select {
@@ -245,15 +264,17 @@
 	}
 }
 
-// expireOverdrafts forgets what other shards have not repeated.
-func (o *Owner) expireOverdrafts() {
+// expire forgets what other shards have not repeated.
+func (o *Owner) expire() {
 	now := o.config.BootTime()
 	expired := false
 	o.mu.Lock()
 	for _, known := range o.workspaces {
-		before := len(known.overdrafts)
-		maps.DeleteFunc(known.overdrafts, func(_ string, told overdraft) bool { return told.until <= now })
-		expired = expired || len(known.overdrafts) < before
+		for _, amounts := range []map[string]told{known.overdrafts, known.claims} {
+			before := len(amounts)
+			maps.DeleteFunc(amounts, func(_ string, one told) bool { return one.until <= now })
+			expired = expired || len(amounts) < before
+		}
 	}
 	o.mu.Unlock()
 	if expired {
--- a/internal/process/allot/allot_test.go
+++ b/internal/process/allot/allot_test.go
@@ -256,6 +256,23 @@
 		Eventually(func() int { second.run(); return first.run() }, "2s", "10ms").Should(Equal(6))
 	})
 
+	It("lets a gang collect its part from a shard whose small tasks end one by one", func() {
+		s := newSystem("s0", "s1")
+		small, gang := s.start("s0", workspaceA(tenCore)), s.start("s1", workspaceA(tenCore))
+		small.submit("small", 100, false, oneCore, time.Minute)
+		Eventually(small.run, "2s", "10ms").Should(Equal(10))
+		gang.submit("gang", 4, true, oneCore, time.Second)
+		ended := time.Now()
+		Eventually(func() int {
+			if time.Since(ended) > 900*time.Millisecond {
+				small.end(1)
+				ended = time.Now()
+			}
+			small.run()
+			return gang.run()
+		}, "8s", "10ms").Should(Equal(4))
+	})
+
 	It("gives a shard that joins later, and a workspace that is new, their parts", func() {
 		s := newSystem("s0", "s1")
 		s.start("s0", workspaceA(tenCore))
--- a/internal/process/allot/ask.go
+++ b/internal/process/allot/ask.go
@@ -45,7 +45,12 @@
 // lowered quota counts as well: the other owners must not start work beside it.
 func (o *Owner) ask() {
 	now := o.config.BootTime()
-	if wait := o.askedAt + askPeriod - now; o.askedAt > 0 && wait > 0 {
+	// A lowered quota may leave an overdraft, of which the others must hear at once.
+	if wait := o.askedAt + askPeriod - now; !o.adopted.Swap(false) && o.askedAt > 0 && wait > 0 {
+		if o.askDueAt <= now {
+			o.askDueAt = now + wait
+			o.wakeAfter(wait)
+		}
 		return
 	}
 	needs, overdrafts := o.needs()
@@ -314,24 +319,20 @@
 			}
 			asked := quota.Share{int64(row.GetMilliCpu()), int64(row.GetMemoryMb()), int64(row.GetAccelerators())}
 			if row.GetLatestStartUnixMs() == announcement {
-				known.overdrafts[forShard] = overdraft{asked, o.config.BootTime() + overdraftTime}
+				known.overdrafts[forShard] = told{asked, o.config.BootTime() + overdraftTime}
 				core.SetWorkspaces([]sched.WorkspaceTerms{known.terms()})
 				continue
 			}
-			share := quota.Grant(known.holder.Part(), o.kept(now, core, known, forShard, row.GetLatestStartUnixMs()), asked)
-			if share.Of(known.Quota).IsZero() || known.holder.Pending() || len(writes) >= maxWorkspaces {
-				continue
-			}
-			if !tokenTaken && !o.mayTransact() {
-				return
-			}
-			tokenTaken = true
-			write, ok := known.holder.Give(forShard, share)
-			if !ok {
-				continue
+			kept, precedes := o.kept(now, core, known, forShard, row.GetLatestStartUnixMs())
+			share := quota.Grant(known.holder.Part(), kept, asked)
+			if share.Of(known.Quota).IsZero() || known.holder.Pending() || len(writes) >= maxWorkspaces || !tokenTaken && !o.mayTransact() {
+				share = quota.Share{}
+			} else if write, ok := known.holder.Give(forShard, share); ok {
+				tokenTaken = true
+				known.pendingSince = o.config.BootTime()
+				writes[known.Name], given[known.Name] = write, share
 			}
-			known.pendingSince = o.config.BootTime()
-			writes[known.Name], given[known.Name] = write, share
+			known.claim(forShard, asked.Sub(share), precedes, o.config.BootTime()+claimTime)
 			core.SetWorkspaces([]sched.WorkspaceTerms{known.terms()})
 		}
 	})
@@ -347,19 +348,32 @@
 	halfQuota = quota.Whole / 2
 )
 
+// claim notes what another shard still lacks for work that precedes that of this one.
+// Otherwise the work of this shard would take what its own tasks leave before the next
+// request, and a gang elsewhere would never start.
+func (w *workspace) claim(shard string, lacking quota.Share, precedes bool, until time.Duration) {
+	if !precedes || lacking.IsZero() {
+		delete(w.claims, shard)
+		return
+	}
+	w.claims[shard] = told{lacking, until}
+}
+
 // kept is the share that the shard does not give: what it uses, and what its own waiting
-// work needs if that has the earlier latest start.
-func (o *Owner) kept(now sched.Moment, core *sched.Core, known *workspace, forShard string, latest int64) quota.Share {
+// work needs if that has the earlier latest start; precedes says that the asker's has it.
+func (o *Owner) kept(
+	now sched.Moment, core *sched.Core, known *workspace, forShard string, latest int64,
+) (kept quota.Share, precedes bool) {
 	use := core.QuotaUse(known.Name)
-	kept := quota.ShareFor(use, known.Quota)
+	kept = quota.ShareFor(use, known.Quota)
 	wanted, ok := core.QuotaWanted(now, known.Name)
 	own := quota.Claimant{Shard: o.config.Claim.Shard, LatestStartUnixMS: wanted.LatestStartUnixMS}
 	if !ok || !own.Precedes(quota.Claimant{Shard: forShard, LatestStartUnixMS: latest}) {
-		return kept
+		return kept, true
 	}
 	unused := limitedTo(known.holder.Part().Sub(kept), quota.ShareFor(known.Quota, known.Quota))
 	if wanted.Missing != (cairnbay.Resources{}) && wanted.HeldFor > keepTime && slices.Max(unused[:]) >= halfQuota {
-		return kept
+		return kept, false
 	}
-	return kept.Max(quota.ShareFor(use.Add(wanted.Wanted), known.Quota))
+	return kept.Max(quota.ShareFor(use.Add(wanted.Wanted), known.Quota)), false
 }
