allot, sched: ask for what the free workers can run, drop claims that no longer precede

The wanted amount is bounded by the free capacity, a claim lasts 0.3 s and ends when work of the shard itself precedes.

The specs of allot and of the parts in sched pass.

--- a/internal/process/allot/allot.go
+++ b/internal/process/allot/allot.go
@@ -70,9 +70,9 @@
 	// overdraftTime is how long an overdraft of another shard counts after it was told; it
 	// is told anew with each period of requests.
 	overdraftTime = time.Second
-	// claimTime is the same for what another shard lacks for work that precedes: a few
-	// periods of requests.
-	claimTime = 600 * time.Millisecond
+	// claimTime is the same for what another shard lacks for work that precedes. It exceeds
+	// askPeriod by little: two shards must not hold room for each other.
+	claimTime = 300 * time.Millisecond
 	// heldLogPeriod is the least interval of log lines about starts of one workspace that
 	// are held back.
 	heldLogPeriod = 5 * time.Second
@@ -134,6 +134,8 @@
 type told struct {
 	share quota.Share
 	until time.Duration
+	// latest is the latest start of the work that a claim is for.
+	latest int64
 }
 
 // New returns the Owner for a claim. It does nothing until Start is called.
--- a/internal/process/allot/ask.go
+++ b/internal/process/allot/ask.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -105,6 +106,8 @@
 				continue
 			}
 			o.logHeld(known, held)
+			known.dropClaims(quota.Claimant{Shard: o.config.Claim.Shard, LatestStartUnixMS: held.LatestStartUnixMS})
+			core.SetWorkspaces([]sched.WorkspaceTerms{known.terms()})
 			if _, overdrawn := overdrafts[held.Workspace]; overdrawn {
 				continue
 			}
@@ -319,7 +322,7 @@
 			}
 			asked := quota.Share{int64(row.GetMilliCpu()), int64(row.GetMemoryMb()), int64(row.GetAccelerators())}
 			if row.GetLatestStartUnixMs() == announcement {
-				known.overdrafts[forShard] = told{asked, o.config.BootTime() + overdraftTime}
+				known.overdrafts[forShard] = told{share: asked, until: o.config.BootTime() + overdraftTime}
 				core.SetWorkspaces([]sched.WorkspaceTerms{known.terms()})
 				continue
 			}
@@ -332,7 +335,7 @@
 				known.pendingSince = o.config.BootTime()
 				writes[known.Name], given[known.Name] = write, share
 			}
-			known.claim(forShard, asked.Sub(share), precedes, o.config.BootTime()+claimTime)
+			known.claim(forShard, precedes, told{asked.Sub(share), o.config.BootTime() + claimTime, row.GetLatestStartUnixMs()})
 			core.SetWorkspaces([]sched.WorkspaceTerms{known.terms()})
 		}
 	})
@@ -351,12 +354,19 @@
 // claim notes what another shard still lacks for work that precedes that of this one.
 // Otherwise the work of this shard would take what its own tasks leave before the next
 // request, and a gang elsewhere would never start.
-func (w *workspace) claim(shard string, lacking quota.Share, precedes bool, until time.Duration) {
-	if !precedes || lacking.IsZero() {
+func (w *workspace) claim(shard string, precedes bool, lacking told) {
+	if !precedes || lacking.share.IsZero() {
 		delete(w.claims, shard)
 		return
 	}
-	w.claims[shard] = told{lacking, until}
+	w.claims[shard] = lacking
+}
+
+// dropClaims forgets the claims for work that no longer precedes that of this shard.
+func (w *workspace) dropClaims(own quota.Claimant) {
+	maps.DeleteFunc(w.claims, func(shard string, claimed told) bool {
+		return own.Precedes(quota.Claimant{Shard: shard, LatestStartUnixMS: claimed.latest})
+	})
 }
 
 // kept is the share that the shard does not give: what it uses, and what its own waiting
--- a/internal/process/sched/quota.go
+++ b/internal/process/sched/quota.go
@@ -218,6 +218,13 @@
 	}
 }
 
+// larger returns the greater amount of each resource.
+func larger(a, b cairnbay.Resources) cairnbay.Resources {
+	return cairnbay.Resources{
+		MilliCPU: max(a.MilliCPU, b.MilliCPU), MemoryMB: max(a.MemoryMB, b.MemoryMB), Accelerators: max(a.Accelerators, b.Accelerators),
+	}
+}
+
 // QuotaHeld reports whether the last Plan left a stage out because of its workspace.
 func (c *Core) QuotaHeld() bool {
 	return c.quotaHeld
--- a/internal/process/sched/quotademand.go
+++ b/internal/process/sched/quotademand.go
@@ -91,6 +91,8 @@
 	slices.SortFunc(ranked, comparePrecedence)
 	wanted := QuotaDemand{Workspace: w.terms.Name, Use: w.use()}
 	found := false
+	// Stages are counted against the same free capacity, which all together cannot exceed.
+	free := c.freeCapacity()
 	for _, entry := range ranked[:min(len(ranked), maxDemandStages)] {
 		stage := entry.stage
 		unit := stage.startUnit()
@@ -101,6 +103,7 @@
 		if count < unit && urgentToo && !found && entry.urgency == urgencyInTime &&
 			c.fittingNow(now, stage, unit, true) >= unit {
 			count = unit
+			free = larger(free, demand(stage.spec).Times(unit))
 		}
 		if count < unit {
 			continue
@@ -115,10 +118,21 @@
 		found = true
 		wanted.Wanted = wanted.Wanted.Add(demand(stage.spec).Times(count))
 	}
+	wanted.Wanted = smaller(wanted.Wanted, free)
 	wanted.Missing = missingFrom(w.terms.Quota, w.terms.Part, wanted.Use, wanted.Wanted)
 	return wanted, found
 }
 
+// freeCapacity sums what is free on usable workers.
+func (c *Core) freeCapacity() (free cairnbay.Resources) {
+	for _, worker := range c.sortedWorkers {
+		if worker.usable() {
+			free = free.Add(larger(worker.free(), cairnbay.Resources{}))
+		}
+	}
+	return free
+}
+
 // missingFrom is what the part lacks for the use and the wanted amount, within the quota.
 func missingFrom(quota, part, use, wanted cairnbay.Resources) cairnbay.Resources {
 	quotas, parts, uses, wants := quota.Values(), part.Values(), use.Values(), wanted.Values()
--- a/internal/tool/soak/world.go
+++ b/internal/tool/soak/world.go
@@ -341,7 +341,8 @@
 	w.later.Wait()
 	w.store.SetDown(false)
 	w.store.SetSlow(0)
-	w.changeQuota(w.config.Quota)
+	// Callers submit more than a low quota completes within settleWait.
+	w.changeQuota(w.config.Workers * int(workerSize.MilliCPU/taskSize.MilliCPU))
 	for _, front := range append(w.toStore, w.toWorker...) {
 		front.Set(proxy.Pass)
 	}
