--- a/internal/tool/soak/callers.go
+++ b/internal/tool/soak/callers.go
@@ -193,6 +193,7 @@
 		return 0, ""
 	}
 	request.Host = host
+	c.world.authenticate(request)
 	if as.key != "" {
 		request.Header.Set("Authorization", "Token "+as.key)
 	}
--- a/internal/tool/soak/faults.go
+++ b/internal/tool/soak/faults.go
@@ -42,6 +42,7 @@
 		}
 		did := drawn[random.IntN(len(drawn))](ctx, w, random, length)
 		w.faults++
+		w.drawQuota(random)
 		fmt.Fprintf(w.config.Out, "%6.2f s  %s\n", time.Since(began).Seconds(), did)
 	}
 }
--- a/internal/tool/soak/soak.go
+++ b/internal/tool/soak/soak.go
@@ -28,6 +28,9 @@
 	// Workspaces is the number of workspaces whose keys callers need; 0 for a
 	// configuration without them.
 	Workspaces int
+	// Quota is the highest quota of the workspace of all jobs, in tasks; it is lowered and
+	// raised during faults. 0 runs without workspaces.
+	Quota int
 	// KeepNames says that a worker that crashes is back under its name.
 	KeepNames bool
 	// FirstPort is the first port of the first instance.
@@ -66,6 +69,7 @@
 			flags.IntVar(&config.Workers, "workers", config.Workers, "workers to stand in for")
 			flags.IntVar(&config.Shards, "shards", config.Shards, "shards of the workers' class; the workers stand in racks of two")
 			flags.IntVar(&config.Workspaces, "workspaces", config.Workspaces, "workspaces whose keys callers need, at least 2; 0 for a configuration without them")
+			flags.IntVar(&config.Quota, "quota", config.Quota, "highest quota of the callers' workspace, in tasks of all workers; 0 for no workspaces")
 			flags.BoolVar(&config.KeepNames, "keep-names", config.KeepNames, "bring workers that crash back under their names")
 			flags.IntVar(&config.FirstPort, "port", config.FirstPort, "first `port` of the instances, on loopback")
 			flags.StringVar(&config.Folder, "folder", "", "`folder` for settings and logs (default: a new one, removed after a run that held)")
@@ -76,6 +80,9 @@
 				if config.Shards < 1 || config.Shards > config.Workers/2 {
 					return errors.Annotatef(shell.ErrUsage, "-shards %d: at least 1, at most half of the workers (%d)", config.Shards, config.Workers/2)
 				}
+				if config.Workspaces > 0 && config.Quota > 0 {
+					return errors.Annotate(shell.ErrUsage, "-workspaces and -quota exclude each other")
+				}
 				if config.Workspaces < 0 || config.Workspaces == 1 {
 					return errors.Annotatef(shell.ErrUsage, "-workspaces %d: 0 or at least 2", config.Workspaces)
 				}
@@ -108,12 +115,14 @@
 	random := rand.New(rand.NewPCG(config.Seed, 1))
 	calls := newCallers(w)
 	calls.start(ctx)
+	w.watchQuota()
 	w.injectUntil(ctx, random, time.Now().Add(config.Length))
 	w.heal()
 	w.rotateInCalm(ctx, random)
 	calls.finish()
 	broken := append(w.fleet.Broken(), calls.check(ctx)...)
 	broken = append(broken, w.searchKeys(ctx)...)
+	broken = append(broken, w.quotaBroken()...)
 	calls.summarise()
 	if len(broken) > 0 {
 		for _, one := range broken {
--- a/internal/tool/soak/world.go
+++ b/internal/tool/soak/world.go
@@ -96,6 +96,7 @@
 	began time.Duration
 
 	mu        sync.Mutex
+	quota     quotaCheck
 	processes []*exec.Cmd
 	stopped   bool
 }
@@ -103,6 +104,7 @@
 func newWorld(config Config) (*world, error) {
 	clock := timer.New()
 	w := &world{config: config, clock: clock, store: store.New(store.Config{Clock: clock})}
+	w.quota.tasks = config.Quota
 	w.fleet = agent.New(agent.Config{
 		Now:     timer.Boot,
 		RunTime: func(cairnbay.WorkflowTask) time.Duration { return runTime },
@@ -260,7 +262,7 @@
 		return w.book.Publish(timer.Boot, w.putTenants)
 	}
 	w.version++
-	w.put(platform.RoutingKey, stand.Config(w.version, class, host, prefix))
+	w.put(platform.RoutingKey, w.withTenants(stand.Config(w.version, class, host, prefix)))
 	return w.version
 }
 
@@ -354,6 +356,8 @@
 	w.later.Wait()
 	w.store.SetDown(false)
 	w.store.SetSlow(0)
+	// Callers submit more than a low quota completes within settleWait.
+	w.changeQuota(w.config.Workers * int(workerSize.MilliCPU/taskSize.MilliCPU))
 	for _, front := range append(w.toStore, w.toWorker...) {
 		front.Set(proxy.Pass)
 	}
