--- a/internal/process/allot/allot.go
+++ b/internal/process/allot/allot.go
@@ -23,7 +23,8 @@
 )
 
 // Core is the scheduler of the shard. Edit calls a function while no decision is made, and
-// has the decisions made again afterwards.
+// has the decisions made again afterwards. The core is nil until it knows what may run, and
+// then has the terms of Owner.Terms.
 type Core interface {
 	Edit(edit func(now sched.Moment, core *sched.Core))
 }
@@ -236,7 +237,11 @@
 	if o.core == nil {
 		return
 	}
-	o.core.Edit(func(_ sched.Moment, core *sched.Core) { core.SetWorkspaces(o.Terms()) })
+	o.core.Edit(func(_ sched.Moment, core *sched.Core) {
+		if core != nil {
+			core.SetWorkspaces(o.Terms())
+		}
+	})
 }
 
 // Wake has the demands of the core considered soon. It does not block.
--- a/internal/process/allot/allot_test.go
+++ b/internal/process/allot/allot_test.go
@@ -52,6 +52,8 @@
 	core    *sched.Core
 	running []*sched.StartAction
 	ended   uint64
+	// loading says that the core does not know yet what may run.
+	loading bool
 }
 
 func newSystem(shards ...string) *system {
@@ -137,6 +139,10 @@
 func (o *shardOwner) Edit(edit func(now sched.Moment, core *sched.Core)) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if o.loading {
+		edit(now(), nil)
+		return
+	}
 	edit(now(), o.core)
 }
 
@@ -320,6 +326,28 @@
 		Eventually(func() int64 { return next.Terms()[0].Part.MilliCPU }).Should(BeNumerically("==", 5000))
 	})
 
+	// Guards against a new owner that gives away what the tasks of the former one use.
+	It("gives no part before it knows what runs", func() {
+		s := newSystem("s0", "s1")
+		s.start("s0", workspaceA(tenCore))
+		next := s.start("s1", workspaceA(tenCore))
+		Eventually(func() uint32 { _, total := s.division(); return total }).Should(BeNumerically("==", 1_000_000))
+		setLoading := func(loading bool) {
+			next.mu.Lock()
+			defer next.mu.Unlock()
+			next.loading = loading
+		}
+		give := func() []string {
+			return next.Give(context.Background(), &cairnbayv1.RequestQuotaRequest{
+				Shard: "s1", ForShard: "s0", Needs: []*cairnbayv1.QuotaNeed{{Workspace: "a", MilliCpu: 300_000, LatestStartUnixMs: 1}},
+			}).GetMoved()
+		}
+		setLoading(true)
+		Consistently(give, "300ms", "20ms").Should(BeEmpty())
+		setLoading(false)
+		Eventually(give, "2s", "20ms").Should(Equal([]string{"a"}))
+	})
+
 	It("starts nothing anywhere while the use is above a lowered quota", func() {
 		s := newSystem("s0", "s1", "s2")
 		quota := cairnbay.Resources{MilliCPU: 30_000}
--- a/internal/process/allot/ask.go
+++ b/internal/process/allot/ask.go
@@ -85,6 +85,9 @@
 func (o *Owner) needs() (needs []need, overdrafts map[string]quota.Share) {
 	overdrafts = make(map[string]quota.Share)
 	o.core.Edit(func(now sched.Moment, core *sched.Core) {
+		if core == nil {
+			return
+		}
 		demands := core.QuotaDemands(now)
 		o.mu.Lock()
 		defer o.mu.Unlock()
@@ -323,7 +326,13 @@
 			asked := quota.Share{int64(row.GetMilliCpu()), int64(row.GetMemoryMb()), int64(row.GetAccelerators())}
 			if row.GetLatestStartUnixMs() == announcement {
 				known.overdrafts[forShard] = told{share: asked, until: o.config.BootTime() + overdraftTime}
-				core.SetWorkspaces([]sched.WorkspaceTerms{known.terms()})
+				if core != nil {
+					core.SetWorkspaces([]sched.WorkspaceTerms{known.terms()})
+				}
+				continue
+			}
+			if core == nil {
+				// What the part is used for is not known yet.
 				continue
 			}
 			kept, precedes := o.kept(now, core, known, forShard, row.GetLatestStartUnixMs())
--- a/internal/process/drive/drive.go
+++ b/internal/process/drive/drive.go
@@ -307,6 +307,7 @@
 	} else {
 		d.journalSettled()
 	}
+	d.setWorkspaces()
 	d.loaded = true
 	counts := d.core.Counts()
 	d.config.Log.WithFields(logrus.Fields{
--- a/internal/process/drive/workspaces.go
+++ b/internal/process/drive/workspaces.go
@@ -2,7 +2,7 @@
 
 import "cairnbay/internal/process/sched"
 
-// setWorkspaces passes the terms of the workspaces to a new core, before it has any job.
+// setWorkspaces passes the terms of the workspaces to the core.
 func (d *Drive) setWorkspaces() {
 	if d.config.Workspaces != nil {
 		d.core.SetWorkspaces(d.config.Workspaces())
@@ -10,10 +10,15 @@
 }
 
 // Edit calls a function while the core makes no decision, and has a plan made afterwards.
-// The function must not block, nor call the drive.
+// The function must not block, nor call the drive. The core is nil before the journal is
+// read: until then it does not know what may run.
 func (d *Drive) Edit(edit func(now sched.Moment, core *sched.Core)) {
 	d.mu.Lock()
-	edit(d.now(), d.core)
+	if d.loaded {
+		edit(d.now(), d.core)
+	} else {
+		edit(d.now(), nil)
+	}
 	d.mu.Unlock()
 	d.requestPlan()
 }
--- a/internal/process/sched/straggler.go
+++ b/internal/process/sched/straggler.go
@@ -97,7 +97,7 @@
 	fruitless := make(map[*stage]bool)
 	for _, s := range c.findStragglers(now) {
 		stage := s.attempt.stage
-		if fruitless[stage] {
+		if fruitless[stage] || s.copies && c.quotaRoom(now, stage) < 1 {
 			continue
 		}
 		if searches++; searches > maxTargetSearches {
