--- a/internal/process/sched/place.go
+++ b/internal/process/sched/place.go
@@ -24,7 +24,7 @@
 	}
 	var placed []*attempt
 	stage.waitingForFaster = 0
-	faster := c.fasterWorkers(now, stage, reservations, allowed)
+	var faster fasterEnds
 	for i := range stage.tasks {
 		task := &stage.tasks[i]
 		if task.done || task.attempt != nil || task.notBefore > now.BootTime {
@@ -40,8 +40,7 @@
 		if target == nil {
 			break
 		}
-		if c.endsSooner(now, stage, target, faster) {
-			faster = faster[1:]
+		if c.endsSooner(now, stage, target, &faster, reservations, allowed) {
 			stage.waitingForFaster++
 			continue
 		}
--- a/internal/process/sched/speed.go
+++ b/internal/process/sched/speed.go
@@ -116,9 +116,6 @@
 // fasterWorkers lists, for a stage with little slack, how soon tasks could end on allowed
 // workers that are not free yet, soonest first.
 func (c *Core) fasterWorkers(now Moment, stage *stage, reservations gangReservations, allowed func(*worker) bool) []time.Duration {
-	if stage.speedWeight <= 0 || stage.spec.Gang {
-		return nil
-	}
 	if stage.fasterSince > 0 && now.BootTime-stage.fasterSince > maxFasterWait {
 		return nil
 	}
@@ -138,12 +135,26 @@
 	return ends
 }
 
+// fasterEnds holds the result of fasterWorkers while a stage is placed.
+type fasterEnds struct {
+	listed bool
+	ends   []time.Duration
+}
+
 // endsSooner reports whether a task that was placed on target would end clearly sooner on
-// the next of the faster workers that are not free yet.
-func (c *Core) endsSooner(now Moment, stage *stage, target *worker, faster []time.Duration) bool {
-	if len(faster) == 0 || faster[0]+minFasterGain > c.predictRunTime(stage, target).Median {
+// the next of the faster workers that are not free yet. They are only listed for a target
+// that is slow, since that takes as long as a plan of the stage.
+func (c *Core) endsSooner(now Moment, stage *stage, target *worker, faster *fasterEnds, reservations gangReservations, allowed func(*worker) bool) bool {
+	if stage.speedWeight <= 0 || c.slownessLog(target)-math.Log(c.learned.model.Spread().Fast) < speedStep {
+		return false
+	}
+	if !faster.listed {
+		faster.listed, faster.ends = true, c.fasterWorkers(now, stage, reservations, allowed)
+	}
+	if len(faster.ends) == 0 || faster.ends[0]+minFasterGain > c.predictRunTime(stage, target).Median {
 		return false
 	}
+	faster.ends = faster.ends[1:]
 	if stage.fasterSince == 0 {
 		stage.fasterSince = now.BootTime
 	}
