--- a/internal/fake/agent/agent.go
+++ b/internal/fake/agent/agent.go
@@ -386,14 +386,6 @@
 	return nil
 }
 
-// runTime is how long a task runs on a worker.
-func (f *Fleet) runTime(on *worker, task cairnbay.WorkflowTask) time.Duration {
-	if f.config.Slowness == nil {
-		return f.config.RunTime(task)
-	}
-	return time.Duration(float64(f.config.RunTime(task)) * f.config.Slowness(on.address))
-}
-
 // judge notes what a start breaks.
 func (f *Fleet) judge(on *worker, target cairnbay.AgentTarget, order cairnbay.AgentStart) {
 	if f.done[order.Task] {
