allot: a new owner waits for the overdrafts of other shards

Cause: the owner of a shard that has just been claimed does not know for up to 200 ms that another shard runs more than its part of a lowered quota, and may start tasks beside it. Change: where a former owner existed, workspaces with a quota start nothing for 300 ms after the keys have been read.

--- a/internal/process/allot/allot.go
+++ b/internal/process/allot/allot.go
@@ -71,6 +71,10 @@
 	// overdraftTime is how long an overdraft of another shard counts after it was told; it
 	// is told anew with each period of requests.
 	overdraftTime = time.Second
+	// listenTime is how long the owner of a shard that had one before starts nothing for
+	// workspaces with a quota. The owners of other shards tell it of their overdrafts within
+	// a period of requests, once they know of it.
+	listenTime = 300 * time.Millisecond
 	// claimTime is the same for what another shard lacks for work that precedes. It exceeds
 	// askPeriod by little: two shards must not hold room for each other.
 	claimTime = 300 * time.Millisecond
@@ -120,7 +124,8 @@
 	holder     *quota.Holder
 	// pendingSince is when the holder's pending write began.
 	pendingSince time.Duration
-	// overdrafts are what other shards run above their parts, by shard.
+	// overdrafts are what other shards run above their parts, by shard. That of no shard is
+	// the whole quota and lasts for listenTime.
 	overdrafts map[string]told
 	// claims are what other shards still lack for work that precedes that of this one.
 	claims       map[string]told
@@ -260,8 +265,9 @@
 		if o.limited() && o.load() {
 			o.create()
 			o.settle()
-			o.expire()
-			o.ask()
+			if !o.expire() {
+				o.ask()
+			}
 		}
 		select {
 		case <-o.ctx.Done():
@@ -271,8 +277,9 @@
 	}
 }
 
-// expire forgets what other shards have not repeated.
-func (o *Owner) expire() {
+// expire forgets what other shards have not repeated, and reports whether listenTime has
+// not passed.
+func (o *Owner) expire() (listening bool) {
 	now := o.config.BootTime()
 	expired := false
 	o.mu.Lock()
@@ -282,11 +289,15 @@
 			maps.DeleteFunc(amounts, func(_ string, one told) bool { return one.until <= now })
 			expired = expired || len(amounts) < before
 		}
+		if _, lasts := known.overdrafts[""]; lasts {
+			listening = true
+		}
 	}
 	o.mu.Unlock()
 	if expired {
 		o.push()
 	}
+	return listening
 }
 
 // mayTransact takes a token for a transaction; the caller holds the lock.
--- a/internal/process/allot/allot_test.go
+++ b/internal/process/allot/allot_test.go
@@ -38,6 +38,8 @@
 	mu     sync.Mutex
 	shards []string
 	owners map[string]*shardOwner
+	// generations counts the owners of each shard.
+	generations map[string]int
 	// deaf shards do not answer requests.
 	deaf map[string]bool
 }
@@ -63,7 +65,7 @@
 	logger.SetOutput(io.Discard)
 	return &system{
 		store: store.New(store.Config{Clock: clock}), clock: clock, log: logger.WithField("test", true), shards: shards,
-		owners: make(map[string]*shardOwner), deaf: make(map[string]bool),
+		owners: make(map[string]*shardOwner), generations: make(map[string]int), deaf: make(map[string]bool),
 	}
 }
 
@@ -102,6 +104,14 @@
 	return sched.Moment{BootTime: timer.Boot(), UnixMS: time.Now().UnixMilli()}
 }
 
+// started counts the owners of a shard, the next one included.
+func (s *system) started(shard string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.generations[shard]++
+	return s.generations[shard]
+}
+
 // start claims a shard, with one large worker.
 func (s *system) start(shard string, workspaces ...cairnbay.Workspace) *shardOwner {
 	ctx := context.Background()
@@ -114,7 +124,7 @@
 	Expect(err).NotTo(HaveOccurred())
 	owner := &shardOwner{
 		shard: shard, core: sched.New(sched.Config{Retention: time.Minute}),
-		claim: tenure.Claim{Shard: shard, Fence: cairnbay.Expectation{Key: key, Revision: revision}},
+		claim: tenure.Claim{Shard: shard, Generation: uint64(s.started(shard)), Fence: cairnbay.Expectation{Key: key, Revision: revision}},
 	}
 	owner.Owner = allot.New(allot.Config{
 		Claim: owner.claim, Store: s.store, Workspaces: workspaces, Shards: s.names,
@@ -348,6 +358,25 @@
 		Eventually(give, "2s", "20ms").Should(Equal([]string{"a"}))
 	})
 
+	// Guards against a new owner that starts tasks in its part while another shard runs more
+	// than its own part of a lowered quota.
+	It("starts nothing with a new owner that has not been told of an overdraft", func() {
+		s := newSystem("s0", "s1")
+		quota := cairnbay.Resources{MilliCPU: 20_000}
+		overdrawn := s.start("s0", workspaceA(quota))
+		former := s.start("s1", workspaceA(quota))
+		overdrawn.submit("j0", 14, false, oneCore, time.Second)
+		Eventually(overdrawn.run, "2s", "10ms").Should(Equal(14))
+		lowered := workspaceA(tenCore)
+		overdrawn.SetWorkspaces([]cairnbay.Workspace{lowered})
+		former.Close()
+		next := s.start("s1", lowered)
+		next.submit("j1", 3, false, oneCore, time.Second)
+		Consistently(next.run, "1s", "5ms").Should(BeZero())
+		overdrawn.end(10)
+		Eventually(next.run, "2s", "10ms").Should(Equal(3))
+	})
+
 	It("starts nothing anywhere while the use is above a lowered quota", func() {
 		s := newSystem("s0", "s1", "s2")
 		quota := cairnbay.Resources{MilliCPU: 30_000}
--- a/internal/process/allot/divisions.go
+++ b/internal/process/allot/divisions.go
@@ -49,6 +49,12 @@
 	}
 	o.mu.Lock()
 	o.loaded = true
+	if len(listing.Entries) > 0 && o.config.Claim.Generation > 1 {
+		for _, known := range o.workspaces {
+			known.overdrafts[""] = told{share: quota.Share{quota.Whole, quota.Whole, quota.Whole}, until: o.config.BootTime() + listenTime}
+		}
+		o.wakeAfter(listenTime)
+	}
 	o.mu.Unlock()
 	for _, entry := range listing.Entries {
 		o.observe(entry)
