--- a/internal/process/sched/share_identity_test.go
+++ b/internal/process/sched/share_identity_test.go
@@ -50,7 +50,7 @@
 var _ = Describe("the plans of a class with workspaces", func() {
 	burst, _, _ := misestimatedBurst(1)
 	accelerators := acceleratorOverload(1, 1.5)
-	tight := []tenant{{name: "a", weight: 0.5}, {name: "b", weight: 0.5}}
+	tight := []workspaceRate{{name: "a", weight: 0.5}, {name: "b", weight: 0.5}}
 	for name, test := range map[string]struct {
 		newSimulation func() *simulation
 		loads         []load
--- a/internal/process/sched/share_load_test.go
+++ b/internal/process/sched/share_load_test.go
@@ -17,8 +17,8 @@
 // all classes.
 const weightFactor = 1.9
 
-// tenant is a workspace of a simulated load.
-type tenant struct {
+// workspaceRate is a workspace of a simulated load.
+type workspaceRate struct {
 	name string
 	// usual is the usual number of jobs a second in this class.
 	usual float64
@@ -26,27 +26,27 @@
 	weight float64
 }
 
-// tenants are a large workspace with a third of the load of a class and nineteen small
+// workspaces are a large workspace with a third of the load of a class and nineteen small
 // ones. classPart of the jobs of each are of this class; the owner does not see the rest.
-func tenants(total, classPart float64) []tenant {
-	list := []tenant{{"large", total / 3, weightFactor * total / 3 / classPart}}
+func workspaces(total, classPart float64) []workspaceRate {
+	list := []workspaceRate{{"large", total / 3, weightFactor * total / 3 / classPart}}
 	for n := range 19 {
 		usual := total * 2 / 3 * float64(n+10) / 361
-		list = append(list, tenant{fmt.Sprintf("small%02d", n), usual, weightFactor * usual / classPart})
+		list = append(list, workspaceRate{fmt.Sprintf("small%02d", n), usual, weightFactor * usual / classPart})
 	}
 	return list
 }
 
-func weightTerms(of []tenant) (list []sched.WorkspaceTerms) {
-	for _, tenant := range of {
-		list = append(list, sched.WorkspaceTerms{Name: tenant.name, Weight: tenant.weight})
+func weightTerms(of []workspaceRate) (list []sched.WorkspaceTerms) {
+	for _, one := range of {
+		list = append(list, sched.WorkspaceTerms{Name: one.name, Weight: one.weight})
 	}
 	return list
 }
 
-// tenantLoad generates the jobs of a workspace: three quarters are quotes of one or two
+// workspaceLoad generates the jobs of a workspace: three quarters are quotes of one or two
 // steps, the rest catalogue jobs of one step.
-func tenantLoad(seed uint64, of tenant, factor float64, from, until time.Duration) (loads []load) {
+func workspaceLoad(seed uint64, of workspaceRate, factor float64, from, until time.Duration) (loads []load) {
 	random := rand.New(rand.NewPCG(seed, uint64(len(of.name))+uint64(of.usual*1e6)))
 	for n, at := range poissonArrivals(random, of.usual*factor, from, until) {
 		id := fmt.Sprintf("%s-%d-%03d", of.name, seed, n)
@@ -93,7 +93,7 @@
 
 func ofSmall(job cairnbay.Workflow) bool { return job.Workspace != "large" }
 
-func newTenantSimulation(workers int, of []tenant) *simulation {
+func newWorkspaceSimulation(workers int, of []workspaceRate) *simulation {
 	sim := newSimulation(sched.Config{StopTime: 200 * time.Millisecond, Retention: time.Hour})
 	for i := range workers {
 		sim.addWorker(nthID(cairnbay.Queue{Name: "w"}, i), cores(32, 131_072))
@@ -111,15 +111,15 @@
 		duration time.Duration
 	}{{1, 4, 8 * time.Second}, {2, 7, 6 * time.Second}, {1, 8, 5 * time.Second}} {
 		It(fmt.Sprintf("delays only its own callers (%.0f times for %v)", scenario.factor, scenario.duration), func() {
-			list := tenants(total, classPart)
+			list := workspaces(total, classPart)
 			var usual []load
-			for _, tenant := range list {
-				usual = append(usual, tenantLoad(scenario.seed, tenant, 1, time.Second, 20*time.Second)...)
+			for _, one := range list {
+				usual = append(usual, workspaceLoad(scenario.seed, one, 1, time.Second, 20*time.Second)...)
 			}
-			burst := tenantLoad(scenario.seed+100, list[0], scenario.factor-1, 8*time.Second, 8*time.Second+scenario.duration)
-			without := newTenantSimulation(workers, list)
+			burst := workspaceLoad(scenario.seed+100, list[0], scenario.factor-1, 8*time.Second, 8*time.Second+scenario.duration)
+			without := newWorkspaceSimulation(workers, list)
 			without.replay(usual, true, 6*time.Second)
-			with := newTenantSimulation(workers, list)
+			with := newWorkspaceSimulation(workers, list)
 			with.replay(append(slices.Clone(usual), burst...), true, 6*time.Second)
 
 			expected, missingWithout := without.waits(ofSmall)
@@ -143,7 +143,7 @@
 		// A job takes 52 core seconds on average.
 		usual := demand * workers * 32 / 52
 		for _, name := range []string{"double", "single"} {
-			loads = append(loads, tenantLoad(7, tenant{name: name, usual: usual}, 1, time.Second, 21*time.Second)...)
+			loads = append(loads, workspaceLoad(7, workspaceRate{name: name, usual: usual}, 1, time.Second, 21*time.Second)...)
 		}
 		return loads
 	}
@@ -159,8 +159,8 @@
 	}
 
 	It("divides the class by weight and loses nothing to idleness", func() {
-		replay := func(of []tenant, loads []load) (*simulation, map[string]float64) {
-			sim, held, samples := newTenantSimulation(workers, of), make(map[string]float64), 0.0
+		replay := func(of []workspaceRate, loads []load) (*simulation, map[string]float64) {
+			sim, held, samples := newWorkspaceSimulation(workers, of), make(map[string]float64), 0.0
 			sim.eachStep = func() {
 				if sim.now > 6*time.Second && sim.now < 21*time.Second && sim.now%holdInterval == 0 {
 					samples++
@@ -176,8 +176,8 @@
 			return sim, held
 		}
 		// With all jobs in one workspace, the order is the former one.
-		old, heldBefore := replay([]tenant{{name: "all", weight: 60}}, named(overload(), func(load) string { return "all" }))
-		sim, held := replay([]tenant{{name: "double", weight: 40}, {name: "single", weight: 20}}, overload())
+		old, heldBefore := replay([]workspaceRate{{name: "all", weight: 60}}, named(overload(), func(load) string { return "all" }))
+		sim, held := replay([]workspaceRate{{name: "double", weight: 40}, {name: "single", weight: 20}}, overload())
 		AddReportEntry("shares", fmt.Sprintf("%.3f and %.3f, in the former order together %.3f; core seconds of completed jobs %.0f, %.0f; stops %v, %v",
 			held["double"], held["single"], heldBefore["all"], coreSeconds(sim), coreSeconds(old), sim.stops, old.stops))
 		Expect(sim.fleet.Broken()).To(BeEmpty())
