sched, drive: no learned run times while the owner is late

So placing by speed costs an owner at its limit the time that it needs to accept jobs. Change: an owner that was over 100 ms late within the last 2 s decides without learned run times; runs are observed all the same.

--- a/internal/process/drive/drive.go
+++ b/internal/process/drive/drive.go
@@ -476,6 +476,7 @@
 	}
 	now := d.now()
 	d.late.observe(now.BootTime - time.Duration(d.planDueAt.Swap(0)))
+	d.core.SetHurried(d.late.hurried(now.BootTime))
 	d.expireInherited(now.BootTime)
 	var actions []sched.Action
 	if d.ownershipConfirmed(now.BootTime) {
--- a/internal/process/drive/lateness.go
+++ b/internal/process/drive/lateness.go
@@ -8,6 +8,8 @@
 // latenessDecay with each observation.
 type lateness struct {
 	recent time.Duration
+	// hurriedUntil is the boot time until which the owner counts as hurried.
+	hurriedUntil time.Duration
 }
 
 const (
@@ -21,6 +23,10 @@
 	// journal is not rewritten. The starts of a burst that the owner can order within
 	// it are not refused.
 	overloadLateness = 300 * time.Millisecond
+	// hurriedLateness is the lateness from which decisions do without what only improves
+	// them, before jobs are refused, and hurriedTime how long they do after it.
+	hurriedLateness = overloadLateness / 3
+	hurriedTime     = 2 * time.Second
 	// minOverloadRetryAfter is the least Retry-After of an owner that is overloaded.
 	minOverloadRetryAfter = time.Second
 	// overloadRetryFactor times the lateness is the Retry-After: the work that makes
@@ -43,6 +49,14 @@
 	return l.recent > overloadLateness
 }
 
+// hurried reports whether the owner has lately been late enough to save processor time.
+func (l *lateness) hurried(now time.Duration) bool {
+	if l.recent > hurriedLateness {
+		l.hurriedUntil = now + hurriedTime
+	}
+	return now < l.hurriedUntil
+}
+
 func (l *lateness) retryAfter() time.Duration {
 	return max(overloadRetryFactor*l.recent, minOverloadRetryAfter)
 }
--- a/internal/process/sched/accept.go
+++ b/internal/process/sched/accept.go
@@ -213,7 +213,7 @@
 // criticalPath is the estimated run time of the longest chain of steps.
 func (c *Core) criticalPath(workflow *cairnbay.Workflow) time.Duration {
 	return criticalPath(workflow.Steps, func(step int) time.Duration {
-		return c.expectedStepRunTime(c.config.Learn.Admit, workflow, step)
+		return c.expectedStepRunTime(c.uses.Admit, workflow, step)
 	})
 }
 
--- a/internal/process/sched/admit.go
+++ b/internal/process/sched/admit.go
@@ -154,7 +154,7 @@
 
 // addWork adds the resource-seconds of a stage's waiting tasks.
 func (c *Core) addWork(work *[cairnbay.Dimensions]float64, stage *stage) {
-	seconds := c.expectedRunTime(c.config.Learn.Admit, stage).Seconds() * float64(stage.waiting)
+	seconds := c.expectedRunTime(c.uses.Admit, stage).Seconds() * float64(stage.waiting)
 	for i, amount := range demand(stage.spec).Values() {
 		work[i] += seconds * float64(amount)
 	}
--- a/internal/process/sched/displace.go
+++ b/internal/process/sched/displace.go
@@ -75,7 +75,7 @@
 		cmp.Compare(c.countEntitled(attempts), c.countEntitled(others)),
 		cmp.Compare(len(attempts), len(others)),
 	)
-	if order == 0 && c.config.Learn.Reserve {
+	if order == 0 && c.uses.Reserve {
 		order = cmp.Compare(lostWork(now, attempts), lostWork(now, others))
 	}
 	return order < 0
--- a/internal/process/sched/learned.go
+++ b/internal/process/sched/learned.go
@@ -75,7 +75,7 @@
 
 // runTimeOn is the estimated run time of a stage's task on a worker, for reservations.
 func (c *Core) runTimeOn(stage *stage, w *worker) time.Duration {
-	if c.config.Learn.Reserve {
+	if c.uses.Reserve {
 		return c.predictRunTime(stage, w).Median
 	}
 	return c.runTime(stage.job.workflow.Queue.Name, stage.spec)
@@ -84,7 +84,7 @@
 // attemptRunTime is runTimeOn of an attempt, as it was predicted at its start: sorts ask
 // for it many times, and progress soon tells more.
 func (c *Core) attemptRunTime(a *attempt) time.Duration {
-	if !c.config.Learn.Reserve {
+	if !c.uses.Reserve {
 		return c.runTime(a.stage.job.workflow.Queue.Name, a.stage.spec)
 	}
 	if a.predicted == 0 {
--- a/internal/process/sched/place.go
+++ b/internal/process/sched/place.go
@@ -70,7 +70,7 @@
 		if avoid && worker.disturbed(now) {
 			continue
 		}
-		if len(reservations) > 0 && c.config.Learn.Reserve && !stage.spec.LongRunning {
+		if len(reservations) > 0 && c.uses.Reserve && !stage.spec.LongRunning {
 			endsAt = now.BootTime + c.runTimeOn(stage, worker)
 		}
 		if reservations.blocks(stage, worker.entry.ID, endsAt) {
@@ -236,7 +236,7 @@
 	if spec.Rack != "" && w.entry.Rack != spec.Rack {
 		cost += crossRackCost * (c.config.CrossRackFactor - 1)
 	}
-	if w.disturbedUntil > c.plannedAt || c.config.Learn.Place && w.speed != nil && w.speed.Disturbed() {
+	if w.disturbedUntil > c.plannedAt || c.uses.Place && w.speed != nil && w.speed.Disturbed() {
 		cost += disturbedCost
 	}
 	if task.failedOn == w.entry.ID {
--- a/internal/process/sched/plan.go
+++ b/internal/process/sched/plan.go
@@ -220,7 +220,7 @@
 	if stage.spec.LongRunning || job.workflow.Occurrences > 0 {
 		return urgencyInTime
 	}
-	slack := job.deadline - now.BootTime - c.expectedRunTime(c.config.Learn.Order, stage)
+	slack := job.deadline - now.BootTime - c.expectedRunTime(c.uses.Order, stage)
 	objective := LatencyObjective(job.workflow.Queue, job.criticalPath)
 	switch {
 	case slack-c.gangLead(stage) > max(time.Duration(patientShare*float64(objective)), backlogFactor*c.backlog):
--- a/internal/process/sched/sched.go
+++ b/internal/process/sched/sched.go
@@ -40,7 +40,9 @@
 
 // Core is the scheduling state of one class. It is not safe for concurrent use.
 type Core struct {
-	config  Config
+	config Config
+	// uses are those of the configuration, none while the owner is hurried.
+	uses    LearnUses
 	jobs    map[string]*job
 	workers map[string]*worker
 	// sortedWorkers holds the workers by ID, so that the same events lead to
@@ -112,6 +114,7 @@
 func New(config Config) *Core {
 	return &Core{
 		config:        config,
+		uses:          config.Learn,
 		changeCount:   1,
 		startLimit:    math.MaxInt,
 		callLimit:     callCounts{defaultCallLimit, defaultCallLimit},
--- a/internal/process/sched/speed.go
+++ b/internal/process/sched/speed.go
@@ -35,7 +35,7 @@
 // the fast ones to others, 0 in between or where the workers hardly differ.
 func (c *Core) speedWeight(now Moment, stage *stage) float64 {
 	spread := c.learned.model.Spread()
-	if !c.config.Learn.Place || !spread.Wide || stage.spec.LongRunning || stage.spec.BestEffort || stage.job.workflow.Occurrences > 0 {
+	if !c.uses.Place || !spread.Wide || stage.spec.LongRunning || stage.spec.BestEffort || stage.job.workflow.Occurrences > 0 {
 		return 0
 	}
 	expected := c.predictRunTime(stage, nil)
@@ -83,7 +83,7 @@
 			}
 		}
 		if follows[i] {
-			ends[i] += c.expectedStepRunTime(c.config.Learn.Order, &stage.job.workflow, i)
+			ends[i] += c.expectedStepRunTime(c.uses.Order, &stage.job.workflow, i)
 			longest = max(longest, ends[i])
 		}
 	}
@@ -98,7 +98,7 @@
 // placementSpeedCost is the part of the placement cost that depends on the speed of the
 // worker.
 func (c *Core) placementSpeedCost(stage *stage, w *worker) float64 {
-	if !c.config.Learn.Place || w.speed == nil {
+	if !c.uses.Place || w.speed == nil {
 		return 0
 	}
 	cost := 0.0
--- a/internal/process/sched/speed_test.go
+++ b/internal/process/sched/speed_test.go
@@ -104,8 +104,11 @@
 }
 
 // placeTrace replays a load and returns its starts in order.
-func placeTrace(uses sched.LearnUses, slowness func(string) float64) (trace []string) {
-	sim := newSpeedSimulation(uses, slowness)
+func placeTrace(uses sched.LearnUses, slowness func(string) float64) []string {
+	return startTrace(newSpeedSimulation(uses, slowness))
+}
+
+func startTrace(sim *simulation) (trace []string) {
 	sim.onStart = func(start *sched.StartAction) {
 		trace = append(trace, fmt.Sprint(sim.now, start.Task, start.Target.Worker, start.UsualWorker))
 	}
@@ -134,6 +137,14 @@
 		// Guards against placement by noise: run times of one step differ by 20 %.
 		Expect(placeTrace(sched.LearnUses{Place: true}, sameSpeed)).To(Equal(placeTrace(sched.LearnUses{}, sameSpeed)))
 	})
+
+	It("is placed as before while the owner is hurried", func() {
+		// Guards against an owner that spends processor time on better placement while it
+		// refuses jobs because it is late.
+		sim := newSpeedSimulation(sched.LearnUses{Place: true, Reserve: true, Admit: true}, twoSpeeds)
+		sim.core.SetHurried(true)
+		Expect(startTrace(sim)).To(Equal(placeTrace(sched.LearnUses{}, twoSpeeds)))
+	})
 })
 
 // newTwoSpeedSimulation has eight workers with room for one task each, of which the first
--- a/internal/process/sched/straggler.go
+++ b/internal/process/sched/straggler.go
@@ -82,7 +82,7 @@
 // idle worker: it stops them, so that they start again elsewhere, or starts a second
 // attempt of a task of a speculative step.
 func (c *Core) planStragglers(now Moment) (actions []Action) {
-	if !c.config.Learn.Straggler {
+	if !c.uses.Straggler {
 		return nil
 	}
 	if c.ticked {
--- a/internal/process/sched/uses.go
+++ b/internal/process/sched/uses.go
@@ -23,6 +23,17 @@
 	return u != LearnUses{}
 }
 
+// SetHurried says whether the owner is short of processor time. Decisions then use no
+// learned run times, since these only improve decisions and cost time; runs are observed
+// all the same.
+func (c *Core) SetHurried(hurried bool) {
+	if hurried {
+		c.uses = LearnUses{}
+		return
+	}
+	c.uses = c.config.Learn
+}
+
 // learnUse is one use by name.
 type learnUse struct {
 	name string
