--- a/internal/process/sched/order.go
+++ b/internal/process/sched/order.go
@@ -11,9 +11,9 @@
 // stageOrder yields stages in passes: the entitled work of the groups that do not overload
 // the class, see group.holdBack, then their surplus, then the rest. Otherwise the urgent work
 // of a group that overloads the class would precede all patient work of the others, and
-// usual variations of the small ones would come behind it. Each pass goes by precedence, and among the stages of one tier by share over
-// weight: the next stage is always that of the group with the smallest. A heap of the groups
-// follows the shares as starts change them.
+// usual variations of the small ones would come behind it. Each pass goes by precedence, and
+// among the stages of one tier by share over weight: the next stage is always that of the
+// group with the smallest. A heap of the groups follows the shares as starts change them.
 type stageOrder struct {
 	// sorted are the stages by comparePrecedence, planned those that were yielded.
 	sorted  []rankedStage
@@ -50,9 +50,8 @@
 }
 
 // headroomPart is the part of the class that the last pass leaves free while some group with
-// jobs does not overload it. Without it, each
-// urgent task of the others has to stop another one: on a full class that kept an eighth of
-// it idle and made all patient work wait.
+// jobs does not overload it. Without it, each urgent task of the others has to stop another
+// one: on a full class that kept an eighth of it idle and made all patient work wait.
 const headroomPart = 0.12
 
 // mayTake reports whether a stage of the last pass may start tasks.
