--- a/internal/process/sched/burst_test.go
+++ b/internal/process/sched/burst_test.go
@@ -97,13 +97,15 @@
 	check := func(seed uint64, lanes int) {
 		It(fmt.Sprintf("does not make quotes late beside patient work (seed %d, lanes %d)", seed, lanes), func() {
 			loads, onlyQuotes, onlyCatalogue := misestimatedBurst(seed)
-			quotesAlone := newAdvisedCPUSimulation()
-			quotesAlone.replay(onlyQuotes, true, 40*time.Second)
-			catalogueAlone := newAdvisedCPUSimulation()
-			catalogueAlone.replay(onlyCatalogue, true, 40*time.Second)
-			sim := newAdvisedCPUSimulation()
-			sim.setLanes(lanes, 4)
-			sim.replay(loads, true, 40*time.Second)
+			sims := inParallel(3, func(index int) *simulation {
+				sim := newAdvisedCPUSimulation()
+				if index == 0 {
+					sim.setLanes(lanes, 4)
+				}
+				sim.replay([][]load{loads, onlyQuotes, onlyCatalogue}[index], true, 40*time.Second)
+				return sim
+			})
+			sim, quotesAlone, catalogueAlone := sims[0], sims[1], sims[2]
 			AddReportEntry("credit of quotes and catalogue", fmt.Sprintf("%.3f %.3f, alone %.3f %.3f, stops %v",
 				sim.credit(quotes.Name), sim.credit(catalogue.Name),
 				quotesAlone.credit(quotes.Name), catalogueAlone.credit(catalogue.Name), sim.stops))
--- a/internal/process/sched/load_test.go
+++ b/internal/process/sched/load_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -53,6 +54,21 @@
 	return flat
 }
 
+// inParallel runs simulations that do not depend on each other at the same time. With the
+// race detector one after the other takes the package close to its limit of time.
+func inParallel(count int, run func(index int) *simulation) []*simulation {
+	sims := make([]*simulation, count)
+	var running sync.WaitGroup
+	for index := range sims {
+		running.Go(func() {
+			defer GinkgoRecover()
+			sims[index] = run(index)
+		})
+	}
+	running.Wait()
+	return sims
+}
+
 // credit is the payment for a queue by the users' rules: late work counts a
 // fifth.
 func (sim *simulation) credit(queue string) float64 {
@@ -161,25 +177,26 @@
 	for _, factor := range []float64{1, 1.2, 1.5} {
 		It(fmt.Sprintf("earns more than a queue limit and little less than arrival order or no refusals (%.1f times the usual load)", factor), func() {
 			var coreCredit, meshCredit, fifoCredit, fifoMeshCredit, noRefusalCredit, queueLimitCredit float64
-			for seed := uint64(1); seed <= overloadSeeds; seed++ {
+			policies := []func(sim *simulation, loads []load){
+				func(sim *simulation, loads []load) { sim.replay(loads, true, 40*time.Second) },
+				func(sim *simulation, loads []load) { sim.replay(fifoBaseline(loads), false, 40*time.Second) },
+				func(sim *simulation, loads []load) { sim.replay(loads, false, 40*time.Second) },
+				func(sim *simulation, loads []load) { sim.replayWithQueueLimit(8, sortByTime(loads), 40*time.Second) },
+			}
+			sims := inParallel(overloadSeeds*len(policies), func(index int) *simulation {
 				sim := newSmallAcceleratorSimulation()
-				sim.replay(acceleratorOverload(seed, factor), true, 40*time.Second)
-				Expect(sim.fleet.Broken()).To(BeEmpty())
-				coreCredit += totalCredit(sim) / overloadSeeds
-				meshCredit += sim.credit(meshes.Name) / overloadSeeds
-
-				sim = newSmallAcceleratorSimulation()
-				sim.replay(fifoBaseline(acceleratorOverload(seed, factor)), false, 40*time.Second)
-				fifoCredit += totalCredit(sim) / overloadSeeds
-				fifoMeshCredit += sim.credit(meshes.Name) / overloadSeeds
-
-				sim = newSmallAcceleratorSimulation()
-				sim.replay(acceleratorOverload(seed, factor), false, 40*time.Second)
-				noRefusalCredit += totalCredit(sim) / overloadSeeds
-
-				sim = newSmallAcceleratorSimulation()
-				sim.replayWithQueueLimit(8, sortByTime(acceleratorOverload(seed, factor)), 40*time.Second)
-				queueLimitCredit += totalCredit(sim) / overloadSeeds
+				policies[index%len(policies)](sim, acceleratorOverload(uint64(index/len(policies)+1), factor))
+				return sim
+			})
+			for seed := range overloadSeeds {
+				core, fifo, noRefusal, queueLimit := sims[4*seed], sims[4*seed+1], sims[4*seed+2], sims[4*seed+3]
+				Expect(core.fleet.Broken()).To(BeEmpty())
+				coreCredit += totalCredit(core) / overloadSeeds
+				meshCredit += core.credit(meshes.Name) / overloadSeeds
+				fifoCredit += totalCredit(fifo) / overloadSeeds
+				fifoMeshCredit += fifo.credit(meshes.Name) / overloadSeeds
+				noRefusalCredit += totalCredit(noRefusal) / overloadSeeds
+				queueLimitCredit += totalCredit(queueLimit) / overloadSeeds
 			}
 			AddReportEntry("credit", fmt.Sprintf("%.3f, in arrival order %.3f, without refusals %.3f, with a queue limit of 8 %.3f",
 				coreCredit, fifoCredit, noRefusalCredit, queueLimitCredit))
--- a/internal/process/sched/speed_test.go
+++ b/internal/process/sched/speed_test.go
@@ -90,9 +90,12 @@
 // averageCredit replays a load and returns the mean credit and share in time of each queue.
 func averageCredit(factor float64, uses sched.LearnUses) (credit, inTime map[string]float64) {
 	credit, inTime = make(map[string]float64), make(map[string]float64)
-	for seed := uint64(1); seed <= speedSeeds; seed++ {
+	sims := inParallel(speedSeeds, func(index int) *simulation {
 		sim := newSpeedSimulation(uses, twoSpeeds)
-		sim.replay(speedLoad(seed, factor), true, 30*time.Second)
+		sim.replay(speedLoad(uint64(index+1), factor), true, 30*time.Second)
+		return sim
+	})
+	for _, sim := range sims {
 		Expect(sim.fleet.Broken()).To(BeEmpty())
 		for _, queue := range []cairnbay.Queue{quotes, catalogue, meshes} {
 			share, _, _ := sim.outcomeShares(queue.Name)
