--- a/internal/tool/soak/quota.go
+++ b/internal/tool/soak/quota.go
@@ -1,11 +1,12 @@
 package soak
 
 import (
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"time"
+
+	"cairnbay/platform/stand"
 )
 
 const (
@@ -35,24 +36,14 @@
 	broken        []string
 }
 
-// withTenants adds the workspace to a configuration.
-func (w *world) withTenants(configuration []byte) []byte {
+// configuration returns the configuration in force, with the workspace if it has a quota.
+func (w *world) configuration() []byte {
 	if w.config.Quota == 0 {
-		return configuration
-	}
-	var fields map[string]any
-	if err := json.Unmarshal(configuration, &fields); err != nil {
-		panic(err) // the stand-in has encoded it
-	}
-	fields["tenants"] = []map[string]any{{
-		"name": quotaWorkspace, "api-keys": []string{quotaKey}, "weight": 100.0,
-		"max-count": map[string]int64{"cpu": int64(w.quota.tasks) * taskSize.MilliCPU, "mem-mb": 0, "gpu": 0},
-	}}
-	encoded, err := json.Marshal(fields)
-	if err != nil {
-		panic(err) // it was decoded from JSON
+		return stand.Config(w.version, class, host, prefix)
 	}
-	return encoded
+	return stand.TenantConfig(w.version, class, host, prefix, "", []stand.Tenant{{
+		Name: quotaWorkspace, APIKeys: []string{quotaKey}, Weight: 100, MilliCPU: int64(w.quota.tasks) * taskSize.MilliCPU,
+	}})
 }
 
 // authenticate adds the key of the workspace to a call.
--- a/internal/tool/soak/world.go
+++ b/internal/tool/soak/world.go
@@ -262,7 +262,7 @@
 		return w.book.Publish(timer.Boot, w.putTenants)
 	}
 	w.version++
-	w.put(platform.RoutingKey, w.withTenants(stand.Config(w.version, class, host, prefix)))
+	w.put(platform.RoutingKey, w.configuration())
 	return w.version
 }
 
