sched, drive: tell what a gang waits for until it starts

Change: the core adds up the waiting time of each gang by reason; the owner logs it once the gang starts, is late or ends without a start, and counts it by width.

--- a/internal/process/drive/drive.go
+++ b/internal/process/drive/drive.go
@@ -482,6 +482,7 @@
 	if d.ownershipConfirmed(now.BootTime) {
 		actions = d.core.Plan(now)
 		d.logRelocations()
+		d.logGangWaits()
 	}
 	d.countStarts(actions)
 	d.observeHeldStarts(now.BootTime)
--- /dev/null
+++ b/internal/process/drive/gangwait.go
@@ -0,0 +1,28 @@
+package drive
+
+import (
+	"github.com/sirupsen/logrus"
+
+	"cairnbay/internal/process/sched"
+)
+
+// wideGangMembers is the number of members from which metrics count a gang as wide.
+const wideGangMembers = 8
+
+// logGangWaits logs the gangs that have started, have become late or have ended without a
+// start; the caller holds the lock.
+func (d *Drive) logGangWaits() {
+	for _, wait := range d.core.TakeGangWaits() {
+		if wait.Event != sched.GangLate {
+			d.meters.gangWaited(wait)
+		}
+		fields := logrus.Fields{
+			"job": wait.Step.Job, "step": wait.Step.Step, "queue": wait.Queue, "event": wait.Event, "members": wait.Members,
+			"waited_ms": wait.Waited.Milliseconds(), "evaluated": wait.Evaluated, "allowed": wait.Allowed,
+		}
+		for reason, waited := range wait.ByReason {
+			fields[string(reason)+"_ms"] = waited.Milliseconds()
+		}
+		d.config.Log.WithFields(fields).Info("gang waited")
+	}
+}
--- a/internal/process/drive/meters.go
+++ b/internal/process/drive/meters.go
@@ -71,6 +71,20 @@
 	m.counter("cairnbay_gangs_incomplete_total", fmt.Sprintf(",cause=%q", cause)).Inc()
 }
 
+// gangWaited adds the waiting time of a gang that starts or whose job has ended.
+func (m meters) gangWaited(wait sched.GangWait) {
+	width := "narrow"
+	if wait.Members >= wideGangMembers {
+		width = "wide"
+	}
+	labels := fmt.Sprintf(",width=%q,event=%q", width, wait.Event)
+	m.counter("cairnbay_gang_waits_total", labels).Inc()
+	for reason, waited := range wait.ByReason {
+		seconds := m.set.GetOrCreateFloatCounter(fmt.Sprintf("cairnbay_gang_wait_seconds_total{shard=%q,width=%q,reason=%q}", m.shard, width, reason))
+		seconds.Add(waited.Seconds())
+	}
+}
+
 func (m meters) startFinished(waited time.Duration, err error) {
 	result := "started"
 	m.startWait.Update(waited.Seconds())
--- a/internal/process/sched/accept.go
+++ b/internal/process/sched/accept.go
@@ -58,6 +58,9 @@
 // endJob ends a job and stops its attempts.
 func (c *Core) endJob(now Moment, job *job) {
 	job.markEnded(now)
+	for _, stage := range job.stages {
+		c.endGangWait(now, stage, GangNotBegun)
+	}
 	c.updateReadyStages(job)
 	if job.attempts == 0 {
 		return
--- a/internal/process/sched/advice.go
+++ b/internal/process/sched/advice.go
@@ -106,11 +106,13 @@
 // evaluated yet.
 func (c *Core) planAdvice(now Moment, stage *stage, reservations gangReservations) []Action {
 	if !c.mayCallPolicy(stage) {
+		c.noteGangWait(now, stage, GangWaitPolicy)
 		return nil
 	}
 	advice := stage.advice
 	allowed := func(w *worker) bool { return advice.allowed(w.entry.ID) }
 	if placed := c.place(now, stage, reservations, allowed); len(placed) > 0 {
+		c.noteGangWait(now, stage, GangWaitTicket)
 		return c.callPolicy(now, stage, c.workersToRefresh(now, stage, placed))
 	}
 	if advice.requestedAt > 0 && now.BootTime-advice.requestedAt < adviceRetryPause {
@@ -120,10 +122,12 @@
 	unevaluated := c.candidates(now, stage, nil, notEvaluated)
 	if len(unevaluated) == 0 {
 		if reserved := c.reserveForGang(now, stage, reservations); len(reserved) > 0 && !c.ticketsValid(now, stage, reserved) {
+			c.noteGangWait(now, stage, GangWaitTicket)
 			return c.callPolicy(now, stage, reserved)
 		}
 		return nil
 	}
+	c.noteGangWait(now, stage, GangWaitDecision)
 	c.sortByFit(stage, unevaluated)
 	limit := maxWorkersPerCall
 	if stage.spec.Gang {
--- a/internal/process/sched/gang.go
+++ b/internal/process/sched/gang.go
@@ -48,8 +48,11 @@
 // With a policy service it returns the reserved workers if the gang can start
 // within the duration of a call plus StopTime, else nil.
 func (c *Core) reserveForGang(now Moment, stage *stage, reservations gangReservations) []string {
-	if !stage.spec.Gang || stage.gangAborting || !c.mayReserve(stage, reservations) ||
-		c.quotaRoom(now, stage) < stage.startUnit() {
+	if !stage.spec.Gang || stage.gangAborting || c.quotaRoom(now, stage) < stage.startUnit() {
+		return nil
+	}
+	if !c.mayReserve(stage, reservations) {
+		c.noteGangWait(now, stage, GangWaitReservation)
 		return nil
 	}
 	allowed := c.candidates(now, stage, reservations, func(w *worker) bool {
@@ -57,6 +60,11 @@
 	})
 	preempt := c.mayPreempt(now, stage)
 	fits := c.chooseGangWorkers(now, stage, allowed, preempt)
+	if fits == nil {
+		c.noteGangWait(now, stage, GangWaitWorkers)
+		return nil
+	}
+	c.noteGangWait(now, stage, GangWaitCapacity)
 	startsAt := now.BootTime
 	for _, fit := range fits {
 		if preempt {
--- a/internal/process/sched/job.go
+++ b/internal/process/sched/job.go
@@ -83,6 +83,8 @@
 	attemptsPerWorker map[string]int
 	// quotaHeldSince is since when a gang waits for room in the part of its workspace.
 	quotaHeldSince time.Duration
+	// gangWait is set while a gang is ready to start and waits.
+	gangWait *gangWait
 	// runs holds the learned run times of the stage, nil before the first.
 	runs *learn.Stage
 	// speedWeight is set before the stage is placed, see Core.speedWeight.
--- a/internal/process/sched/plan.go
+++ b/internal/process/sched/plan.go
@@ -176,6 +176,7 @@
 			break
 		}
 		stage := entry.stage
+		c.noteGangLate(now, entry)
 		stageActions := c.planStage(now, stage, reservations)
 		if len(stageActions) == 0 {
 			stage.blockedAtChange = c.changeCount
@@ -338,6 +339,9 @@
 // startPlaced starts attempts that hold capacity.
 func (c *Core) startPlaced(now Moment, stage *stage, placed []*attempt) (actions []Action) {
 	c.startLimit -= len(placed)
+	if len(placed) > 0 {
+		c.endGangWait(now, stage, GangStarted)
+	}
 	for _, attempt := range placed {
 		attempt.phase = phaseStarting
 		attempt.phaseSince = now.BootTime
--- a/internal/process/sched/sched.go
+++ b/internal/process/sched/sched.go
@@ -97,6 +97,8 @@
 	assessedAt  time.Duration
 	discards    discards
 	relocations []Relocation
+	// gangWaits are the reports since the last TakeGangWaits.
+	gangWaits []GangWait
 	// disturbedWorkers and silentWorkers are counted at each tick. plannedAt is the boot
 	// time of the last plan, reservations are those of its gangs.
 	disturbedWorkers, silentWorkers int
