sched: a gang keeps its workers until it starts

Cause: the reservations of a gang lasted for one plan. While the policy service was asked for tickets of the reserved workers, 0.6 s and 9 ms for each, the gang had none: other work took the workers that became free, and the gang asked again. The chance that all are still free at the answer falls with the width. A gang also asked about the whole class, call after call, before it reserved anything, and at most three gangs had reservations, in a class of 13 workers as in one of 308.

Change: reservations last from plan to plan and through a call for tickets. Work of a higher priority is not kept from them, as it may precede the gang. A gang reserves as soon as the workers it knows let it start after one more call.

--- a/internal/process/sched/gang.go
+++ b/internal/process/sched/gang.go
@@ -8,46 +8,12 @@
 	"cairnbay"
 )
 
-// maxReservingGangs bounds the gangs with reservations; more would leave no
-// capacity for single tasks.
-const maxReservingGangs = 3
-
-// gangReservations holds the workers reserved for waiting gangs, by worker ID.
-// A task may backfill a reserved worker if it ends before the gang starts.
-type gangReservations map[string]gangReservation
-
-type gangReservation struct {
-	stage *stage
-	// surplus is set for a gang that is surplus; it keeps no worker from entitled work.
-	surplus bool
-	// startsAt is when the gang is expected to start there.
-	startsAt time.Duration
-}
-
-// blocks reports whether a worker is reserved for another stage and a task of
-// this stage would still run when that one starts.
-func (r gangReservations) blocks(stage *stage, worker string, endsAt time.Duration) bool {
-	reservation, ok := r[worker]
-	if reservation.surplus && !stage.job.surplus {
-		return false
-	}
-	return ok && reservation.stage != stage && endsAt > reservation.startsAt
-}
-
-func (r gangReservations) gangs() int {
-	stages := make(map[*stage]struct{})
-	for _, reservation := range r {
-		stages[reservation.stage] = struct{}{}
-	}
-	return len(stages)
-}
-
-// reserveForGang reserves the workers on which a waiting gang can start
-// soonest, and preempts tasks there if the gang is in time. Without it, small
-// tasks fill capacity as it becomes free, and a large gang may never start.
-// With a policy service it returns the reserved workers if the gang can start
-// within the duration of a call plus StopTime, else nil.
-func (c *Core) reserveForGang(now Moment, stage *stage, reservations gangReservations) []string {
+// reserveForGang reserves the workers on which a waiting gang can start soonest, by
+// startBy at the latest, and preempts tasks there if the gang is in time. Without it,
+// small tasks fill capacity as it becomes free, and a large gang may never start.
+// It returns the reserved workers, nil for none.
+func (c *Core) reserveForGang(now Moment, stage *stage, reservations gangReservations, startBy time.Duration) []string {
+	reservations.release(stage)
 	if !stage.spec.Gang || stage.gangAborting || c.quotaRoom(now, stage) < stage.startUnit() {
 		return nil
 	}
@@ -60,27 +26,25 @@
 	})
 	preempt := c.mayPreempt(now, stage)
 	fits := c.chooseGangWorkers(now, stage, allowed, preempt)
-	if fits == nil {
+	startsAt := now.BootTime
+	for _, fit := range fits {
+		startsAt = max(startsAt, now.BootTime+fit.wait)
+	}
+	if len(fits) == 0 || startsAt > startBy {
 		c.noteGangWait(now, stage, GangWaitWorkers)
 		return nil
 	}
 	c.noteGangWait(now, stage, GangWaitCapacity)
-	startsAt := now.BootTime
+	workers := make([]string, 0, len(fits))
 	for _, fit := range fits {
+		workers = append(workers, fit.worker.entry.ID)
 		if preempt {
 			for _, victim := range fit.victims {
 				c.stop(victim, CausePreempted)
 			}
 		}
-		startsAt = max(startsAt, now.BootTime+fit.wait)
-	}
-	var workers []string
-	for _, fit := range fits {
-		reservations[fit.worker.entry.ID] = gangReservation{stage, c.isSurplus(stage.job), startsAt}
-		if stage.advice != nil && startsAt-now.BootTime <= stage.job.workflow.Queue.Advice.Decide+c.config.StopTime {
-			workers = append(workers, fit.worker.entry.ID)
-		}
 	}
+	reservations.add(now, stage, c.isSurplus(stage.job), workers, startsAt)
 	return workers
 }
 
--- a/internal/process/sched/gangwait.go
+++ b/internal/process/sched/gangwait.go
@@ -67,11 +67,11 @@
 
 // noteGangWait adds the time since the last note to the former reason.
 func (c *Core) noteGangWait(now Moment, stage *stage, reason GangWaitReason) {
-	if !stage.spec.Gang {
-		return
-	}
 	wait := stage.gangWait
 	if wait == nil {
+		if _, ready := c.readyStages[stage]; !ready || !stage.spec.Gang {
+			return
+		}
 		wait = &gangWait{from: now.BootTime, last: now.BootTime, byReason: make(map[GangWaitReason]time.Duration)}
 		stage.gangWait = wait
 	}
--- a/internal/process/sched/job.go
+++ b/internal/process/sched/job.go
@@ -83,6 +83,8 @@
 	attemptsPerWorker map[string]int
 	// quotaHeldSince is since when a gang waits for room in the part of its workspace.
 	quotaHeldSince time.Duration
+	// held are the reservations of a gang that waits.
+	held heldReservations
 	// gangWait is set while a gang is ready to start and waits.
 	gangWait *gangWait
 	// runs holds the learned run times of the stage, nil before the first.
--- a/internal/process/sched/place.go
+++ b/internal/process/sched/place.go
@@ -21,7 +21,11 @@
 		return nil
 	}
 	if stage.spec.Gang {
-		return c.placeGang(now, stage, candidates)
+		placed := c.placeGang(now, stage, candidates)
+		if len(placed) > 0 {
+			reservations.release(stage)
+		}
+		return placed
 	}
 	var placed []*attempt
 	stage.waitingForFaster = 0
--- a/internal/process/sched/plan.go
+++ b/internal/process/sched/plan.go
@@ -165,7 +165,7 @@
 		}
 		ranked = append(ranked, c.rankStage(now, stage))
 	}
-	reservations := make(gangReservations)
+	reservations := c.heldReservations(now)
 	c.plannedAt, c.reservations = now.BootTime, reservations
 	maps.DeleteFunc(c.queueRisks, func(_ string, queue *queueRisk) bool { return queue.until <= now.BootTime })
 	c.startsHeld = false
@@ -314,7 +314,7 @@
 	if terms == nil {
 		placed := c.place(now, stage, reservations, anyWorker)
 		if len(placed) == 0 {
-			c.reserveForGang(now, stage, reservations)
+			c.reserveForGang(now, stage, reservations, now.BootTime+indefinite)
 		}
 		c.preempt(now, stage, reservations)
 		return c.startPlaced(now, stage, placed)
