--- a/internal/tool/soak/soak.go
+++ b/internal/tool/soak/soak.go
@@ -33,6 +33,8 @@
 	Quota int
 	// KeepNames says that a worker that crashes is back under its name.
 	KeepNames bool
+	// OddEntries says that other writers leave malformed entries among those of workers.
+	OddEntries bool
 	// FirstPort is the first port of the first instance.
 	FirstPort int
 	// Program is the path of the program under test.
@@ -71,6 +73,7 @@
 			flags.IntVar(&config.Workspaces, "workspaces", config.Workspaces, "workspaces whose keys callers need, at least 2; 0 for a configuration without them")
 			flags.IntVar(&config.Quota, "quota", config.Quota, "highest quota of the callers' workspace, in tasks of all workers; 0 for no workspaces")
 			flags.BoolVar(&config.KeepNames, "keep-names", config.KeepNames, "bring workers that crash back under their names")
+			flags.BoolVar(&config.OddEntries, "odd-entries", config.OddEntries, "leave malformed entries of other writers among those of the workers")
 			flags.IntVar(&config.FirstPort, "port", config.FirstPort, "first `port` of the instances, on loopback")
 			flags.StringVar(&config.Folder, "folder", "", "`folder` for settings and logs (default: a new one, removed after a run that held)")
 			return func(ctx context.Context, arguments []string) error {
--- a/internal/tool/soak/soak_test.go
+++ b/internal/tool/soak/soak_test.go
@@ -29,10 +29,11 @@
 
 	// Seeds that failed once stay here, each with its cause.
 	DescribeTable("finds no broken promise",
-		func(seed, shards, workspaces int, length time.Duration, keepNames bool) {
+		func(seed, shards, workspaces int, length time.Duration, keepNames, oddEntries bool) {
 			config := soak.Defaults()
 			config.Seed, config.Length, config.Program = uint64(seed), length, program
-			config.Shards, config.Workspaces, config.KeepNames = shards, workspaces, keepNames
+			config.Shards, config.Workspaces = shards, workspaces
+			config.KeepNames, config.OddEntries = keepNames, oddEntries
 			config.FirstPort, config.Folder = 26_000, GinkgoT().TempDir()
 			var out bytes.Buffer
 			config.Out = &out
@@ -41,15 +42,17 @@
 		},
 		// A worker shrank twice before its owner could know; the stand-in compared with
 		// the capacity between the two.
-		Entry("a short run", 1, 1, 0, 8*time.Second, false),
-		Entry("a short run over three shards", 2, 3, 0, 8*time.Second, false),
+		Entry("a short run", 1, 1, 0, 8*time.Second, false, false),
+		Entry("a short run over three shards", 2, 3, 0, 8*time.Second, false, false),
 		// Workers that restarted under their names ran tasks again that had ended.
-		Entry("a short run with workers that keep their names", 3, 1, 0, 8*time.Second, true),
+		Entry("a short run with workers that keep their names", 3, 1, 0, 8*time.Second, true, false),
 		// The late answer to a write of an owner's key overwrote the news of its
 		// successor; the instance then claimed the class without end.
-		Entry("seed 47", 47, 1, 0, 20*time.Second, false),
+		Entry("seed 47", 47, 1, 0, 20*time.Second, false, false),
 		// Guards against calls that are handled by an old version of the keys, and against
 		// keys in logs, metrics and stored values.
-		Entry("a short run with keys", 4, 2, 4, 8*time.Second, false),
+		Entry("a short run with keys", 4, 2, 4, 8*time.Second, false, false),
+		// Guards against entries of other writers that end or stop the readers of the list.
+		Entry("a short run beside malformed entries", 6, 1, 0, 8*time.Second, false, true),
 	)
 })
--- a/internal/tool/soak/world.go
+++ b/internal/tool/soak/world.go
@@ -50,6 +50,8 @@
 	// restartDowntime is how long a worker is away that restarts under its name.
 	restartDowntime = 200 * time.Millisecond
 	livesPeriod     = 100 * time.Millisecond
+	// oddPeriod is how often the malformed entries are written.
+	oddPeriod = time.Second
 	// maxWorkerLease is the longest lease of a worker; the settings say so too.
 	maxWorkerLease = 10 * time.Second
 	// shrinkGrace is how long an owner may take to learn of a worker that has shrunk,
@@ -145,6 +147,10 @@
 		w.addLife(i)
 	}
 	clock.Every(livesPeriod, func(time.Duration) { w.followLives() })
+	if config.OddEntries {
+		w.putOddEntries(agents)
+		clock.Every(oddPeriod, func(time.Duration) { w.putOddEntries(agents) })
+	}
 	if err := os.MkdirAll(config.Folder, 0o755); err != nil {
 		return nil, errors.Trace(err)
 	}
@@ -214,6 +220,13 @@
 		stand.Entry(class, w.toWorker[worker].Address(), rackName(worker), life.Capacity, life.BornUnixMS))
 }
 
+// putOddEntries writes entries that are malformed, so that all instances read them again.
+func (w *world) putOddEntries(address string) {
+	for name, value := range stand.OddEntries(class, address) {
+		w.put(platform.WorkerPrefix+"odd-"+name, value)
+	}
+}
+
 // gangSize is the number of members of a job's gangs, 0 for a job without them.
 func (w *world) gangSize(job string) int {
 	members, ok := w.gangs.Load(job)
