lister: one malformed row does not hide the list of instances

What callers would see: `cairnbay entry` keeps the last list for as long as one row of the platform's list is malformed; new workers and upstreams stay unknown, and left ones are not noticed.

Cause: the list was decoded as a whole, so a number beyond 64 bits or a row nested beyond 10,000 levels made all of it invalid; ports out of range and negative capacities were accepted.

Change: the list is split into rows token by token, each row is decoded and validated by itself, and one that is not valid leaves the former row of its instance in use: an instance with a malformed row is not gone.

--- a/internal/platform/lister/lister.go
+++ b/internal/platform/lister/lister.go
@@ -3,12 +3,12 @@
 
 import (
 	"context"
-	"encoding/json"
 	"io"
 	"net/http"
 	"sync"
 
 	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
 
 	"cairnbay"
 )
@@ -24,6 +24,8 @@
 	// URL of the list.
 	URL    string
 	Client *http.Client
+	// Log takes the rows that are not valid; nil for none.
+	Log *logrus.Entry
 }
 
 // Lister implements cairnbay.Lister. It sends the entity tag of the last answer in
@@ -41,8 +43,9 @@
 	return &Lister{config: config}
 }
 
-// List implements cairnbay.Lister. Errors: ErrUnavailable if the list was not read or
-// is not valid, ErrTooLarge, ErrInvalid for the URL.
+// List implements cairnbay.Lister. A row that is not valid is ignored, and the last valid
+// one of its instance stays. Errors: ErrUnavailable if the list was not read or is not
+// JSON, ErrTooLarge, ErrInvalid for the URL.
 func (l *Lister) List(ctx context.Context) (cairnbay.Snapshot, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -82,15 +85,39 @@
 	if len(body) > maxListBytes {
 		return cairnbay.Snapshot{}, errors.Annotatef(cairnbay.ErrTooLarge, "list exceeds %d bytes", maxListBytes)
 	}
-	var snapshot cairnbay.Snapshot
-	if err := json.Unmarshal(body, &snapshot); err != nil {
+	rows, err := splitRows(body)
+	if err != nil {
 		return cairnbay.Snapshot{}, unavailable(err)
 	}
+	snapshot := cairnbay.Snapshot{Instances: make([]cairnbay.Instance, 0, len(rows))}
+	for _, row := range rows {
+		instance, err := row.decode()
+		if err == nil {
+			snapshot.Instances = append(snapshot.Instances, instance)
+			continue
+		}
+		if l.config.Log != nil {
+			l.config.Log.WithError(err).WithField("instance", row.id).Warn("invalid row of the list ignored")
+		}
+		// An instance whose row is malformed is not gone.
+		if former, ok := l.known(row.id); ok {
+			snapshot.Instances = append(snapshot.Instances, former)
+		}
+	}
 	l.last = snapshot
 	l.etag = response.Header.Get("ETag")
 	return snapshot, nil
 }
 
+func (l *Lister) known(id string) (cairnbay.Instance, bool) {
+	for _, instance := range l.last.Instances {
+		if instance.ID == id {
+			return instance, true
+		}
+	}
+	return cairnbay.Instance{}, false
+}
+
 func unavailable(err error) error {
 	return errors.Annotatef(cairnbay.ErrUnavailable, "list: %v", err)
 }
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -160,7 +160,7 @@
 	})
 	e.roster = roster.New(ctx, roster.Config{
 		Clock:  e.config.Clock,
-		Lister: lister.New(lister.Config{URL: "http://" + settings.ListAddress, Client: e.list}),
+		Lister: lister.New(lister.Config{URL: "http://" + settings.ListAddress, Client: e.list, Log: e.config.Log}),
 		Log:    e.config.Log,
 	})
 }
