sched: gangs reserve after the last decision, three at a time, as before

Change: reservations still last from plan to plan and through a call. They begin once the policy service has decided on all workers, three gangs have one at most, and more than one gang reserves a quarter of the workers at most, which keeps the class of 13 workers as it was.

--- a/internal/process/sched/advice.go
+++ b/internal/process/sched/advice.go
@@ -120,24 +120,16 @@
 	}
 	notEvaluated := func(w *worker) bool { return !advice.evaluated[w.entry.ID] }
 	unevaluated := c.candidates(now, stage, nil, notEvaluated)
-	// A gang that can start after one more call on the workers known so far asks for
-	// tickets there; otherwise it asks about the others first.
-	nextCall := now.BootTime + c.config.StopTime + stage.job.workflow.Queue.Advice.Decide
-	startBy := nextCall
 	if len(unevaluated) == 0 {
-		startBy = now.BootTime + indefinite
-	}
-	if reserved := c.reserveForGang(now, stage, reservations, startBy); len(reserved) > 0 {
-		if stage.held.startsAt > nextCall || c.ticketsValid(now, stage, reserved) {
+		reserved := c.reserveForGang(now, stage, reservations)
+		afterCall := now.BootTime + stage.job.workflow.Queue.Advice.Decide + c.config.StopTime
+		if len(reserved) == 0 || stage.held.startsAt > afterCall || c.ticketsValid(now, stage, reserved) {
 			return nil
 		}
 		c.noteGangWait(now, stage, GangWaitTicket)
 		stage.held.until = now.BootTime + ticketWaitLimit
 		return c.callPolicy(now, stage, reserved)
 	}
-	if len(unevaluated) == 0 {
-		return nil
-	}
 	c.noteGangWait(now, stage, GangWaitDecision)
 	c.sortByFit(stage, unevaluated)
 	limit := maxWorkersPerCall
--- a/internal/process/sched/displace.go
+++ b/internal/process/sched/displace.go
@@ -96,14 +96,15 @@
 const (
 	// maxReservingGangsOfGroup bounds the gangs with reservations of one group while
 	// others have jobs, so that one with many gangs leaves a reservation to others.
-	maxReservingGangsOfGroup = 2
+	maxReservingGangsOfGroup = maxReservingGangs - 1
 	// maxReservingSurplusGangs bounds those that are surplus.
 	maxReservingSurplusGangs = 1
 )
 
 // mayReserve reports whether a waiting gang may get reservations beside those of others.
 func (c *Core) mayReserve(waiting *stage, reservations gangReservations) bool {
-	if len(reservations) > 0 && float64(len(reservations)+len(waiting.tasks)) > reservablePart*float64(len(c.workers)) {
+	if reservations.gangs() >= maxReservingGangs ||
+		len(reservations) > 0 && float64(len(reservations)+len(waiting.tasks)) > reservablePart*float64(len(c.workers)) {
 		return false
 	}
 	if !c.fairness.applies() {
--- a/internal/process/sched/gang.go
+++ b/internal/process/sched/gang.go
@@ -8,11 +8,11 @@
 	"cairnbay"
 )
 
-// reserveForGang reserves the workers on which a waiting gang can start soonest, by
-// startBy at the latest, and preempts tasks there if the gang is in time. Without it,
-// small tasks fill capacity as it becomes free, and a large gang may never start.
-// It returns the reserved workers, nil for none.
-func (c *Core) reserveForGang(now Moment, stage *stage, reservations gangReservations, startBy time.Duration) []string {
+// reserveForGang reserves the workers on which a waiting gang can start soonest, and
+// preempts tasks there if the gang is in time. Without it, small tasks fill capacity as it
+// becomes free, and a large gang may never start. It returns the reserved workers, nil for
+// none.
+func (c *Core) reserveForGang(now Moment, stage *stage, reservations gangReservations) []string {
 	reservations.release(stage)
 	if !stage.spec.Gang || stage.gangAborting || c.quotaRoom(now, stage) < stage.startUnit() {
 		return nil
@@ -30,7 +30,7 @@
 	for _, fit := range fits {
 		startsAt = max(startsAt, now.BootTime+fit.wait)
 	}
-	if len(fits) == 0 || startsAt > startBy {
+	if len(fits) == 0 {
 		c.noteGangWait(now, stage, GangWaitWorkers)
 		return nil
 	}
--- a/internal/process/sched/plan.go
+++ b/internal/process/sched/plan.go
@@ -314,7 +314,7 @@
 	if terms == nil {
 		placed := c.place(now, stage, reservations, anyWorker)
 		if len(placed) == 0 {
-			c.reserveForGang(now, stage, reservations, now.BootTime+indefinite)
+			c.reserveForGang(now, stage, reservations)
 		}
 		c.preempt(now, stage, reservations)
 		return c.startPlaced(now, stage, placed)
--- a/internal/process/sched/reservation.go
+++ b/internal/process/sched/reservation.go
@@ -7,9 +7,11 @@
 )
 
 const (
-	// reservablePart is the part of the workers that gangs may reserve together; one gang
-	// may reserve more. Without a bound they would leave no capacity for single tasks.
-	reservablePart = 0.25
+	// maxReservingGangs bounds the gangs with reservations, and reservablePart the part of
+	// the workers that more than one may reserve together. Without the bounds they would
+	// leave no capacity for single tasks.
+	maxReservingGangs = 3
+	reservablePart    = 0.25
 	// reservationTime is how long reservations last after the plan that made them. It
 	// exceeds the interval between plans, in which a gang renews them.
 	reservationTime = 500 * time.Millisecond
@@ -91,3 +93,11 @@
 	precedes := reservation.earlier && stage.job.workflow.Queue.Priority < reservation.stage.job.workflow.Queue.Priority
 	return !precedes && (!reservation.surplus || stage.job.surplus)
 }
+
+func (r gangReservations) gangs() int {
+	stages := make(map[*stage]struct{})
+	for _, reservation := range r {
+		stages[reservation.stage] = struct{}{}
+	}
+	return len(stages)
+}
