--- a/review/1/run.sh
+++ b/review/5/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 does the same without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-rig ] && [ -x target/cairnbay ] || exit 2
-exec target/review-rig ends review/1/record.txt
+exec target/review-rig gang review/5/record.txt
