sched, drive: a truncated list of ends tells nothing of what it lacks

Cause: a worker lists 500 ends at a time and the rest once these are acknowledged, which needs the store. An attempt beyond the page was neither running nor ended by the list, so it counted as lost, was stopped, and its task started again.

AgentState.EndsTruncated now tells such a state apart, and attempts that it does not list stay as they are. The same holds after a change of the owner, when leases of a former owner have ended, and after a restart of a worker's process.

--- a/internal/fake/agent/agent.go
+++ b/internal/fake/agent/agent.go
@@ -47,6 +47,8 @@
 	Incarnations bool
 	// MaxLease is the longest lease of a worker; 0 for no limit.
 	MaxLease time.Duration
+	// ListedEnds is the number of ends that a worker lists at a time; 0 for all.
+	ListedEnds int
 	// ShrinkGrace is how long after a change of its capacity a worker may still be
 	// given what it had room for before, whatever changes have followed.
 	ShrinkGrace time.Duration
@@ -442,6 +444,9 @@
 		return cairnbay.AgentState{}, cairnbay.ErrUnknown
 	}
 	state := cairnbay.AgentState{Worker: w.id, Clock: f.config.Now() - w.epoch, Ended: slices.Clone(w.ends)}
+	if limit := f.config.ListedEnds; limit > 0 && len(state.Ended) >= limit {
+		state.Ended, state.EndsTruncated = state.Ended[:limit], true
+	}
 	for _, task := range w.inOrder() {
 		one := w.running[task]
 		state.Running = append(state.Running, cairnbay.AgentTask{
--- a/internal/process/drive/inherited.go
+++ b/internal/process/drive/inherited.go
@@ -9,8 +9,8 @@
 	"cairnbay/internal/process/sched"
 )
 
-// resolveInherited removes a worker from the inherited ones after it answered or
-// was counted as lost, and ends the recovery with the last one; the caller holds
+// resolveInherited removes a worker from the inherited ones after it answered with all
+// its ends or was counted as lost, and ends the recovery with the last one; the caller holds
 // the lock.
 func (d *Drive) resolveInherited(id string) {
 	if _, ok := d.inherited[id]; !ok {
@@ -27,7 +27,8 @@
 }
 
 // expireInherited counts inherited workers that have not answered as lost, once
-// their leases have certainly ended; the caller holds the lock.
+// their leases have certainly ended; the caller holds the lock. A worker that has not
+// listed all its ends yet has answered: their tasks must not start again.
 func (d *Drive) expireInherited(now time.Duration) {
 	d.dropDeparted(now)
 	if len(d.inherited) == 0 {
@@ -51,6 +52,9 @@
 	}
 	for id := range d.inherited {
 		if l := d.links[id]; l != nil {
+			if l.endsTruncated {
+				continue
+			}
 			d.journalRelease(l)
 		}
 		d.handleWorkerLoss(id, "inherited_lease_ended", sched.LossSilent)
--- a/internal/process/drive/lineage.go
+++ b/internal/process/drive/lineage.go
@@ -169,9 +169,16 @@
 
 // endFormer counts the attempts of the former runs as lost, after the current one has
 // answered, unless it lists them itself: it may have carried out orders meant for them.
-// It returns the IDs of these runs and the records of their release. The caller holds the
-// lock.
+// It returns the IDs of these runs and the records of their release. After a truncated
+// state, the attempts that it does not list stay with the former runs. The caller holds
+// the lock.
 func (d *Drive) endFormer(l *link, state cairnbay.AgentState) (ended []string, released []*cairnbayv1.WorkRecord) {
+	if state.EndsTruncated {
+		for _, former := range l.lineage.former {
+			d.core.HandOver(former.entry.ID, state)
+		}
+		return nil, nil
+	}
 	for _, former := range l.lineage.former {
 		id := former.entry.ID
 		if former.answeredAt > 0 || former.journaled {
--- a/internal/process/drive/link.go
+++ b/internal/process/drive/link.go
@@ -39,6 +39,8 @@
 	// listsEnds says that the latest answer listed ends, which the worker keeps until
 	// they are acknowledged.
 	listsEnds bool
+	// endsTruncated says that the latest answer may not have listed all ends.
+	endsTruncated bool
 	// storing holds the sequences of the last ends of the records that are being
 	// stored, oldest first. Later records may be stored before earlier ones.
 	storing []*storingEnds
@@ -331,7 +333,11 @@
 	}
 	now := d.now()
 	l.updateClock(state.Clock, sent, now.BootTime)
-	l.listsEnds = len(state.Ended) > 0
+	if state.EndsTruncated && !l.endsTruncated {
+		d.config.Log.WithFields(logrus.Fields{"worker": l.entry.ID, "ends": len(state.Ended), "acked": l.acked}).
+			Warn("worker has more ends than it lists")
+	}
+	l.listsEnds, l.endsTruncated = len(state.Ended) > 0, state.EndsTruncated
 	if l.failures > 0 {
 		d.config.Log.WithFields(logrus.Fields{"worker": l.entry.ID, "failures": l.failures}).Info("worker regained")
 		l.failures, l.lapsed = 0, false
@@ -350,7 +356,10 @@
 	ended, released := d.endFormer(l, state)
 	result := d.core.HandleHold(now, l.entry.ID, sent, state)
 	d.logGivenUp()
-	for _, id := range append(ended, l.entry.ID) {
+	if !state.EndsTruncated {
+		ended = append(ended, l.entry.ID)
+	}
+	for _, id := range ended {
 		d.resolveInherited(id)
 	}
 	var used []*cairnbayv1.WorkRecord
--- a/internal/process/sched/result.go
+++ b/internal/process/sched/result.go
@@ -165,8 +165,9 @@
 
 // HandleHold processes the state that a worker returned to a hold, the call
 // that renews its lease. sent is the boot time at which the hold was sent;
-// later starts may be missing from the state. The result is empty for an
-// unknown worker.
+// later starts may be missing from the state. Attempts that a truncated state does not
+// list are left as they are until the worker lists all ends. The result is empty for
+// an unknown worker.
 func (c *Core) HandleHold(now Moment, id string, sent time.Duration, state cairnbay.AgentState) HoldResult {
 	worker := c.workers[id]
 	if worker == nil {
@@ -195,6 +196,9 @@
 		result.Records = append(result.Records, c.handleRunning(now, worker, running)...)
 	}
 	c.judgeProgress(now, worker)
+	if state.EndsTruncated {
+		return result
+	}
 	for ref, attempt := range worker.attempts {
 		if number, ok := listed[ref]; !ok || number != attempt.number {
 			if c.handleMissing(now, attempt, sent) {
--- a/internal/process/sched/sched_test.go
+++ b/internal/process/sched/sched_test.go
@@ -71,6 +71,65 @@
 		Expect(core.State("j")).To(Equal(cairnbay.WorkflowCompleted))
 	})
 
+	// Guards against tasks that run again while their ends wait to be listed.
+	DescribeTable("leaves an attempt as it is until its worker lists all ends", func(restarted bool, after ...cairnbay.AgentState) {
+		core.Accept(now, singleStep("k", quotes, 3, cores(1, 100), time.Second), false)
+		for _, action := range core.Plan(now) {
+			core.HandleStart(now, action.Start, nil)
+		}
+		worker := "w"
+		if restarted {
+			worker = "next run of w"
+			core.SetReachable(now, "w", false)
+			core.SetWorker(cairnbay.WorkerEntry{ID: worker, Capacity: cores(8, 8000)})
+		}
+		answer := func(state cairnbay.AgentState) (starts int) {
+			for range 5 {
+				now.BootTime += 200 * time.Millisecond
+				switch {
+				case restarted && state.EndsTruncated:
+					core.HandOver("w", state)
+				case restarted:
+					core.HandleRestart(now, "w", sched.LossCrashed, state)
+				}
+				core.RecordsStored(core.HandleHold(now, worker, now.BootTime, state).Records)
+				core.Tick()
+				for _, action := range core.Plan(now) {
+					switch {
+					case action.Start != nil:
+						starts++
+					case action.Stop != nil:
+						core.HandleStop(now, action.Stop, nil)
+					}
+				}
+			}
+			return starts
+		}
+		starts := 0
+		for _, state := range after {
+			starts += answer(state)
+		}
+		Expect(starts).To(BeZero())
+		Expect(core.State("k")).To(Equal(cairnbay.WorkflowCompleted))
+	},
+		Entry("in two parts", false,
+			cairnbay.AgentState{EndsTruncated: true, Ended: []cairnbay.AgentEnd{end(1, task("j", 0), 1, cairnbay.AgentDone)}},
+			cairnbay.AgentState{Ended: []cairnbay.AgentEnd{
+				end(2, task("k", 0), 1, cairnbay.AgentDone), end(3, task("k", 1), 1, cairnbay.AgentDone), end(4, task("k", 2), 1, cairnbay.AgentDone),
+			}}),
+		Entry("one at a time", false,
+			cairnbay.AgentState{EndsTruncated: true, Ended: []cairnbay.AgentEnd{end(1, task("j", 0), 1, cairnbay.AgentDone)}},
+			cairnbay.AgentState{EndsTruncated: true, Ended: []cairnbay.AgentEnd{end(2, task("k", 0), 1, cairnbay.AgentDone)}},
+			cairnbay.AgentState{EndsTruncated: true, Ended: []cairnbay.AgentEnd{end(3, task("k", 1), 1, cairnbay.AgentDone)}},
+			cairnbay.AgentState{EndsTruncated: true, Ended: []cairnbay.AgentEnd{end(4, task("k", 2), 1, cairnbay.AgentDone)}},
+			cairnbay.AgentState{}),
+		Entry("after a restart of the worker's process", true,
+			cairnbay.AgentState{EndsTruncated: true, Ended: []cairnbay.AgentEnd{end(1, task("j", 0), 1, cairnbay.AgentDone)}},
+			cairnbay.AgentState{Ended: []cairnbay.AgentEnd{
+				end(2, task("k", 0), 1, cairnbay.AgentDone), end(3, task("k", 1), 1, cairnbay.AgentDone), end(4, task("k", 2), 1, cairnbay.AgentDone),
+			}}),
+	)
+
 	It("handles an end only once", func() {
 		state := cairnbay.AgentState{Ended: []cairnbay.AgentEnd{end(1, task("j", 0), 1, cairnbay.AgentDone)}}
 		Expect(core.HandleHold(now, "w", now.BootTime, state).Records).To(HaveLen(1))
--- a/internal/process/sched/worker.go
+++ b/internal/process/sched/worker.go
@@ -285,23 +285,32 @@
 }
 
 // HandleRestart is HandleWorkerLoss for a run of a worker's process after which another
-// one has answered with a state. The attempts that the state lists are not lost, and the
-// next HandleHold attaches them: the new run has carried out orders for the former one.
+// one has answered with a state, which must not be truncated. The attempts that the state
+// lists are not lost, see HandOver.
 func (c *Core) HandleRestart(now Moment, id string, cause LossCause, state cairnbay.AgentState) WorkerLoss {
-	if former := c.workers[id]; former != nil {
-		listed := func(task cairnbay.WorkflowTask, number int) {
-			if a := former.attempts[task]; a != nil && a.number == number {
-				c.detach(a)
-			}
-		}
-		for _, running := range state.Running {
-			listed(running.Task, running.Attempt)
-		}
-		for _, ended := range state.Ended {
-			listed(ended.Task, ended.Attempt)
+	c.HandOver(id, state)
+	return c.HandleWorkerLoss(now, id, cause)
+}
+
+// HandOver detaches the attempts of a former run of a worker's process that the state of
+// the current one lists; the next HandleHold attaches them there: the current run has
+// carried out orders for the former one.
+func (c *Core) HandOver(formerID string, state cairnbay.AgentState) {
+	former := c.workers[formerID]
+	if former == nil {
+		return
+	}
+	listed := func(task cairnbay.WorkflowTask, number int) {
+		if a := former.attempts[task]; a != nil && a.number == number {
+			c.detach(a)
 		}
 	}
-	return c.HandleWorkerLoss(now, id, cause)
+	for _, running := range state.Running {
+		listed(running.Task, running.Attempt)
+	}
+	for _, ended := range state.Ended {
+		listed(ended.Task, ended.Attempt)
+	}
 }
 
 // HandleWorkerLoss removes a worker whose tasks have certainly ended. It may be called
--- a/workflow.go
+++ b/workflow.go
@@ -285,7 +285,11 @@
 	// Clock is the worker's monotonic clock at the time of the answer.
 	Clock   time.Duration
 	Running []AgentTask
-	Ended   []AgentEnd
+	// Ended lists the oldest ends that are not acknowledged.
+	Ended []AgentEnd
+	// EndsTruncated is set if Ended may lack later ends. An attempt that such a state does
+	// not list may have ended.
+	EndsTruncated bool
 }
 
 // Agent calls the agent of a worker that runs workflow tasks.
