gate: a submission asks for the job in the former classes of its queue

GET PREFIX left out the jobs that waited in the former class.

Cause: a job stays with the class that accepted it, but a submission asked the owner of the present class only. Lengths were counted there only, and by the queue's name, which a version may change.

The gate now asks the owners of the other classes first and submits to the class that has the job. The answers tell whether a shard has any job of the queue, so that it is asked once in a configuration that stays as it is. After a change, negative answers are kept from 15 s on, when no instance uses the older version any more. A queue is identified by host and prefix.

The stub owner of gate_test.go has jobs only of the queues that its classes run, as real owners do; what the specs expect is unchanged.

--- a/internal/process/drive/submit.go
+++ b/internal/process/drive/submit.go
@@ -54,8 +54,9 @@
 	// done is closed once err is set.
 	done chan struct{}
 	err  error
-	// workspace is that of the workflow.
+	// workspace and queue are those of the workflow.
 	workspace string
+	queue     cairnbay.QueuePath
 }
 
 // Submit stores a workflow and accepts it, or refuses it. The verdict is
@@ -145,7 +146,7 @@
 	if workflow.AcceptedUnixMS == 0 {
 		workflow.AcceptedUnixMS = now.UnixMS
 	}
-	pending := &submission{done: make(chan struct{}), workspace: workflow.Workspace}
+	pending := &submission{done: make(chan struct{}), workspace: workflow.Workspace, queue: workflow.Queue.Path()}
 	d.pending[workflow.ID] = pending
 	d.writer.TryAppend([]*cairnbayv1.WorkRecord{{Accepted: EncodeWorkflow(&workflow)}}, func(err error) {
 		d.mu.Lock()
@@ -240,7 +241,7 @@
 
 // Length returns the number of accepted jobs of a queue that have started no task;
 // owner is as for Inspect.
-func (d *Drive) Length(queue string) (waiting int, owner bool) {
+func (d *Drive) Length(queue cairnbay.QueuePath) (waiting int, owner bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if !d.loaded || d.fenced {
@@ -249,6 +250,23 @@
 	return d.core.WaitingJobs(queue), true
 }
 
+// LacksQueue reports whether the drive certainly has no job of a queue, ended ones
+// included. It is false before the journal is read and after a worker has reported a
+// newer owner.
+func (d *Drive) LacksQueue(queue cairnbay.QueuePath) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.loaded || d.fenced {
+		return false
+	}
+	for _, pending := range d.pending {
+		if pending.queue == queue {
+			return false
+		}
+	}
+	return !d.core.MayHaveJobsOf(queue)
+}
+
 // Cancel stores the cancellation of a job and then ends the job, after a
 // submission of the job that is being stored. It succeeds if the job is already
 // cancelled. Errors: ErrNotFound; ErrNotOwner, also before the journal is read;
--- a/internal/process/relay/relay.go
+++ b/internal/process/relay/relay.go
@@ -95,6 +95,7 @@
 	if owner := r.config.Drive(request.Msg.GetShard()); owner != nil {
 		state, isOwner := owner.InspectScoped(ctx, request.Msg.GetScope(), request.Msg.GetId())
 		response.Owner, response.State = isOwner, uint32(state)
+		response.QueueAbsent = request.Msg.GetQueue() != nil && owner.LacksQueue(decodePath(request.Msg.GetQueue()))
 	}
 	return connect.NewResponse(response), nil
 }
@@ -119,12 +120,18 @@
 ) (*connect.Response[cairnbayv1.LengthResponse], error) {
 	response := &cairnbayv1.LengthResponse{}
 	if owner := r.config.Drive(request.Msg.GetShard()); owner != nil {
-		waiting, isOwner := owner.Length(request.Msg.GetQueue())
+		path := decodePath(request.Msg.GetQueue())
+		waiting, isOwner := owner.Length(path)
 		response.Owner, response.Waiting = isOwner, int64(waiting)
+		response.QueueAbsent = request.Msg.GetQueue() != nil && owner.LacksQueue(path)
 	}
 	return connect.NewResponse(response), nil
 }
 
+func decodePath(path *cairnbayv1.QueuePath) cairnbay.QueuePath {
+	return cairnbay.QueuePath{Host: path.GetHost(), Prefix: path.GetPrefix()}
+}
+
 // Advise implements the Relay service.
 func (r *Relay) Advise(
 	ctx context.Context, request *connect.Request[cairnbayv1.AdviseRequest],
--- a/internal/process/sched/accept.go
+++ b/internal/process/sched/accept.go
@@ -103,16 +103,27 @@
 }
 
 // WaitingJobs counts the accepted jobs of a queue that have started no task.
-func (c *Core) WaitingJobs(queue string) int {
+func (c *Core) WaitingJobs(queue cairnbay.QueuePath) int {
 	count := 0
 	for _, job := range c.jobs {
-		if !job.started && !job.ended && job.workflow.Queue.Name == queue {
+		if !job.started && !job.ended && job.workflow.Queue.Path() == queue {
 			count++
 		}
 	}
 	return count
 }
 
+// MayHaveJobsOf reports whether any job is of a queue, or ended under a former owner, in
+// which case its queue is not known.
+func (c *Core) MayHaveJobsOf(queue cairnbay.QueuePath) bool {
+	for _, job := range c.jobs {
+		if path := job.workflow.Queue.Path(); path == queue || path == (cairnbay.QueuePath{}) {
+			return true
+		}
+	}
+	return false
+}
+
 // updateReadyStages updates readyStages for a job. A stage is ready if its
 // predecessors are done, some of its tasks wait, its job has not ended and its
 // gang is not being aborted.
--- a/internal/process/sched/simulation_test.go
+++ b/internal/process/sched/simulation_test.go
@@ -418,16 +418,16 @@
 // load sheets.
 var (
 	quotes = cairnbay.Queue{
-		Name: "quotes", Priority: 0, MaxAttempts: 4, Stretch: 1.5, TargetLatency: 250 * time.Millisecond,
+		Name: "quotes", Prefix: "/quotes/", Priority: 0, MaxAttempts: 4, Stretch: 1.5, TargetLatency: 250 * time.Millisecond,
 	}
 	catalogue = cairnbay.Queue{
-		Name: "catalogue", Priority: 2, MaxAttempts: 3, Stretch: 4, TargetLatency: 3 * time.Second,
+		Name: "catalogue", Prefix: "/catalogue/", Priority: 2, MaxAttempts: 3, Stretch: 4, TargetLatency: 3 * time.Second,
 	}
 	meshes = cairnbay.Queue{
-		Name: "meshes", Priority: 1, MaxAttempts: 4, Stretch: 2.2, TargetLatency: time.Second,
+		Name: "meshes", Prefix: "/meshes/", Priority: 1, MaxAttempts: 4, Stretch: 2.2, TargetLatency: time.Second,
 	}
 	models = cairnbay.Queue{
-		Name: "models", Priority: 2, MaxAttempts: 4, Stretch: 4, TargetLatency: 3 * time.Second,
+		Name: "models", Prefix: "/models/", Priority: 2, MaxAttempts: 4, Stretch: 4, TargetLatency: 3 * time.Second,
 	}
 )
 
--- /dev/null
+++ b/internal/request/gate/former.go
@@ -0,0 +1,84 @@
+package gate
+
+import (
+	"sync"
+	"time"
+
+	"cairnbay"
+)
+
+// queueMoveSettleTime is how long after a queue has got another class jobs may still be
+// accepted in the former one: an instance has the older configuration, or a submission is
+// under way.
+const queueMoveSettleTime = 15 * time.Second
+
+// formerClasses knows which shards of other classes certainly have no jobs of a queue, so
+// that requests need not ask their owners. A queue that gets another class leaves its jobs
+// in the former one.
+type formerClasses struct {
+	mu      sync.Mutex
+	routing *cairnbay.Routing
+	// places are the queues of the configuration in force, each with its class.
+	places map[queuePlace]*placeHistory
+}
+
+type queuePlace struct {
+	path  cairnbay.QueuePath
+	class string
+}
+
+type placeHistory struct {
+	// settledAt is when no more jobs of the queue can be accepted in other classes. It is
+	// zero for the first configuration that this process reads.
+	settledAt time.Time
+	// absent are the shards of other classes that have no job of the queue.
+	absent map[string]struct{}
+}
+
+// update adopts the configuration in force. What is known of queues that keep their class
+// remains.
+func (f *formerClasses) update(routing *cairnbay.Routing) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.routing == routing {
+		return
+	}
+	var settledAt time.Time
+	if f.routing != nil {
+		settledAt = time.Now().Add(queueMoveSettleTime)
+	}
+	places := make(map[queuePlace]*placeHistory, len(routing.Queues))
+	for i := range routing.Queues {
+		place := placeOf(&routing.Queues[i])
+		if places[place] = f.places[place]; places[place] == nil {
+			places[place] = &placeHistory{settledAt: settledAt, absent: make(map[string]struct{})}
+		}
+	}
+	f.routing, f.places = routing, places
+}
+
+func placeOf(queue *cairnbay.Queue) queuePlace {
+	return queuePlace{queue.Path(), queue.Class}
+}
+
+// lacks reports whether a shard of another class certainly has no jobs of the queue.
+func (f *formerClasses) lacks(queue *cairnbay.Queue, shard string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	history := f.places[placeOf(queue)]
+	if history == nil {
+		return false
+	}
+	_, absent := history.absent[shard]
+	return absent
+}
+
+// setAbsent records that the owner of a shard, asked at that time, had no jobs of the
+// queue.
+func (f *formerClasses) setAbsent(queue *cairnbay.Queue, shard string, asked time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if history := f.places[placeOf(queue)]; history != nil && !asked.Before(history.settledAt) {
+		history.absent[shard] = struct{}{}
+	}
+}
--- a/internal/request/gate/gate.go
+++ b/internal/request/gate/gate.go
@@ -82,7 +82,8 @@
 	// store did not answer, in nanoseconds since the epoch; 0 for never.
 	storeStalledAt atomic.Int64
 	// keys is the key index of the configuration in force.
-	keys keyring
+	keys   keyring
+	former formerClasses
 	// unauthorised reports the calls refused because of their key.
 	unauthorised *refusalLog
 }
@@ -125,7 +126,7 @@
 	for shard := range g.config.Owners.Owners() {
 		if g.config.Drive(shard) == nil {
 			// shardQueueLength passes the outcome to recordOwnerCall.
-			_, _ = g.shardQueueLength(ctx, shard, "")
+			_, _ = g.shardQueueLength(ctx, shard, &cairnbay.Queue{})
 			return
 		}
 	}
@@ -184,6 +185,7 @@
 		g.refuse(writer, &callerRequest{startedAt: time.Now()}, "no_configuration", time.Second)
 		return
 	}
+	g.former.update(routing)
 	queue, jobID, ok := match(routing, request.Host, request.URL.Path)
 	if !ok {
 		g.config.Log.WithFields(logrus.Fields{
@@ -310,7 +312,7 @@
 	for {
 		state, err := cairnbay.WorkflowUnknown, errNoOwner
 		if divided, ok := g.awaitLayout(ctx, callerReq.queue.Class); ok {
-			state, err = g.inspectShard(ctx, divided.ShardOfJob(callerReq.id), callerReq)
+			state, err = g.inspectShard(ctx, divided.ShardOfJob(callerReq.id), callerReq, callerReq.scope)
 		}
 		if err == nil && state != cairnbay.WorkflowUnknown {
 			return state, nil
@@ -334,7 +336,7 @@
 		if class == callerReq.queue.Class {
 			continue
 		}
-		state, err := g.inspectShard(ctx, divided.ShardOfJob(callerReq.id), callerReq)
+		state, err := g.inspectShard(ctx, divided.ShardOfJob(callerReq.id), callerReq, callerReq.scope)
 		if err != nil || state != cairnbay.WorkflowUnknown {
 			return state, err
 		}
@@ -342,23 +344,31 @@
 	return cairnbay.WorkflowUnknown, nil
 }
 
-// inspectShard gets the job's state from the owner of a shard. Errors: errNoOwner,
-// also when the called instance does not own the shard, or the error of the call.
-func (g *Gate) inspectShard(ctx context.Context, shard string, callerReq *callerRequest) (cairnbay.WorkflowState, error) {
+// inspectShard gets the state of the job, if the scope includes it, from the owner of a
+// shard. Errors: errNoOwner, also when the called instance does not own the shard, or the
+// error of the call.
+func (g *Gate) inspectShard(
+	ctx context.Context, shard string, callerReq *callerRequest, scope *cairnbayv1.AccessScope,
+) (cairnbay.WorkflowState, error) {
 	owner, ok := g.awaitOwner(ctx, shard)
 	if !ok {
 		return cairnbay.WorkflowUnknown, errNoOwner
 	}
+	asked := time.Now()
 	if localDrive := g.config.Drive(shard); localDrive != nil {
-		if state, isOwner := localDrive.InspectScoped(ctx, callerReq.scope, callerReq.id); isOwner {
+		if state, isOwner := localDrive.InspectScoped(ctx, scope, callerReq.id); isOwner {
+			if localDrive.LacksQueue(callerReq.queue.Path()) {
+				g.former.setAbsent(&callerReq.queue, shard, asked)
+			}
 			return state, nil
 		}
 		return cairnbay.WorkflowUnknown, errNoOwner
 	}
 	ctx, cancel := context.WithTimeout(ctx, ownerCallTimeout)
 	defer cancel()
-	response, err := g.config.Relay.Client(owner.Address).Inspect(ctx,
-		connect.NewRequest(&cairnbayv1.InspectWorkflowRequest{Shard: shard, Id: callerReq.id, Scope: callerReq.scope}))
+	response, err := g.config.Relay.Client(owner.Address).Inspect(ctx, connect.NewRequest(&cairnbayv1.InspectWorkflowRequest{
+		Shard: shard, Id: callerReq.id, Scope: scope, Queue: encodePath(callerReq.queue.Path()),
+	}))
 	g.recordOwnerCall(err == nil)
 	if err != nil {
 		return cairnbay.WorkflowUnknown, err
@@ -366,9 +376,16 @@
 	if !response.Msg.GetOwner() {
 		return cairnbay.WorkflowUnknown, errNoOwner
 	}
+	if response.Msg.GetQueueAbsent() {
+		g.former.setAbsent(&callerReq.queue, shard, asked)
+	}
 	return cairnbay.WorkflowState(response.Msg.GetState()), nil
 }
 
+func encodePath(path cairnbay.QueuePath) *cairnbayv1.QueuePath {
+	return &cairnbayv1.QueuePath{Host: path.Host, Prefix: path.Prefix}
+}
+
 // writeJSON responds with body, the result of an encoder. err is the encoder's
 // error; if it is set, the status is 500.
 func (g *Gate) writeJSON(writer http.ResponseWriter, callerReq *callerRequest, body []byte, err error, outcome string) {
--- a/internal/request/gate/gate_test.go
+++ b/internal/request/gate/gate_test.go
@@ -1,6 +1,7 @@
 package gate_test
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"io"
@@ -82,10 +83,19 @@
 func (o *owner) Inspect(
 	_ context.Context, request *connect.Request[cairnbayv1.InspectWorkflowRequest],
 ) (*connect.Response[cairnbayv1.InspectWorkflowResponse], error) {
+	if !hasQueue(request.Msg.GetShard(), request.Msg.GetQueue()) {
+		return connect.NewResponse(&cairnbayv1.InspectWorkflowResponse{Owner: true, QueueAbsent: true}), nil
+	}
 	o.record(request.Msg.GetScope())
 	return connect.NewResponse(&cairnbayv1.InspectWorkflowResponse{Owner: true, State: o.state.Load()}), nil
 }
 
+// hasQueue says whether the shard is of the class that runs the jobs of a queue.
+func hasQueue(shard string, path *cairnbayv1.QueuePath) bool {
+	class, _, _ := strings.Cut(shard, "~")
+	return class == cmp.Or(map[string]string{"/deep/": "b", "/wide/": "c"}[path.GetPrefix()], "a")
+}
+
 func (o *owner) Cancel(
 	_ context.Context, request *connect.Request[cairnbayv1.CancelWorkflowRequest],
 ) (*connect.Response[cairnbayv1.CancelWorkflowResponse], error) {
@@ -95,8 +105,11 @@
 }
 
 func (o *owner) Length(
-	context.Context, *connect.Request[cairnbayv1.LengthRequest],
+	_ context.Context, request *connect.Request[cairnbayv1.LengthRequest],
 ) (*connect.Response[cairnbayv1.LengthResponse], error) {
+	if !hasQueue(request.Msg.GetShard(), request.Msg.GetQueue()) {
+		return connect.NewResponse(&cairnbayv1.LengthResponse{Owner: true, QueueAbsent: true}), nil
+	}
 	return connect.NewResponse(&cairnbayv1.LengthResponse{Owner: true, Waiting: 12}), nil
 }
 
@@ -104,6 +117,15 @@
 // others have one.
 type owners map[string]tenure.Owner
 
+// ownersAt says that the instance at an address owns all shards.
+func ownersAt(address string) owners {
+	all := owners{}
+	for _, shard := range []string{"a", "b", "c~0", "c~1"} {
+		all[shard] = tenure.Owner{Instance: "n1", Address: address}
+	}
+	return all
+}
+
 func (o owners) Owner(shard string) (tenure.Owner, bool) {
 	entry, ok := o[shard]
 	return entry, ok
@@ -151,11 +173,7 @@
 		mux.Handle(cairnbayv1connect.NewRelayHandler(remoteOwner))
 		server := httptest.NewServer(mux)
 		DeferCleanup(server.Close)
-		address := server.Listener.Addr().String()
-		classOwners = owners{}
-		for _, shard := range []string{"a", "b", "c~0", "c~1"} {
-			classOwners[shard] = tenure.Owner{Instance: "n1", Address: address}
-		}
+		classOwners = ownersAt(server.Listener.Addr().String())
 		current = routing
 		logger := logrus.New()
 		logger.SetOutput(io.Discard)
--- a/internal/request/gate/keys_test.go
+++ b/internal/request/gate/keys_test.go
@@ -22,7 +22,6 @@
 	"cairnbay/gen/cairnbay/v1/cairnbayv1connect"
 	"cairnbay/internal/process/drive"
 	"cairnbay/internal/process/relay"
-	"cairnbay/internal/process/tenure"
 	"cairnbay/internal/request/gate"
 )
 
@@ -84,7 +83,7 @@
 				EncodeQueueLength: func(count int) ([]byte, error) { return json.Marshal(count) },
 			},
 			Routing: func() *cairnbay.Routing { return current },
-			Owners:  owners{"a": tenure.Owner{Instance: "n1", Address: server.Listener.Addr().String()}}, Drive: noDrive,
+			Owners:  ownersAt(server.Listener.Addr().String()), Drive: noDrive,
 			Relay: relay.New(relay.Config{Client: server.Client(), Drive: noDrive}),
 			Log:   logger.WithField("test", true), Metrics: set,
 		})
--- a/internal/request/gate/length.go
+++ b/internal/request/gate/length.go
@@ -30,18 +30,29 @@
 }
 
 // queueLength sums the numbers of jobs that have not started over the shards of the
-// queue's class. Errors: those of shardQueueLength for any of them, since a sum of
-// fewer shards would be too low.
+// queue's class, and of other classes that it may have had. Errors: those of
+// shardQueueLength for any of them, since a sum of fewer shards would be too low.
 func (g *Gate) queueLength(ctx context.Context, queue cairnbay.Queue) (int, error) {
 	divided, ok := g.awaitLayout(ctx, queue.Class)
 	if !ok {
 		return 0, errNoOwner
 	}
+	shards := divided.Names()
+	for class, other := range g.config.Owners.Layouts() {
+		if class == queue.Class {
+			continue
+		}
+		for _, shard := range other.Names() {
+			if !g.former.lacks(&queue, shard) {
+				shards = append(shards, shard)
+			}
+		}
+	}
 	var total atomic.Int64
 	calls, ctx := errgroup.WithContext(ctx)
-	for _, shard := range divided.Names() {
+	for _, shard := range shards {
 		calls.Go(func() error {
-			waiting, err := g.shardQueueLength(ctx, shard, queue.Name)
+			waiting, err := g.shardQueueLength(ctx, shard, &queue)
 			total.Add(int64(waiting))
 			return err
 		})
@@ -53,13 +64,17 @@
 // shardQueueLength gets the number of jobs that have not started from the owner of a
 // shard. Errors: errNoOwner, also when the called instance does not own the shard, or
 // the error of the call.
-func (g *Gate) shardQueueLength(ctx context.Context, shard, queue string) (int, error) {
+func (g *Gate) shardQueueLength(ctx context.Context, shard string, queue *cairnbay.Queue) (int, error) {
 	owner, ok := g.awaitOwner(ctx, shard)
 	if !ok {
 		return 0, errNoOwner
 	}
+	asked := time.Now()
 	if localDrive := g.config.Drive(shard); localDrive != nil {
-		if waiting, isOwner := localDrive.Length(queue); isOwner {
+		if waiting, isOwner := localDrive.Length(queue.Path()); isOwner {
+			if localDrive.LacksQueue(queue.Path()) {
+				g.former.setAbsent(queue, shard, asked)
+			}
 			return waiting, nil
 		}
 		return 0, errNoOwner
@@ -67,7 +82,7 @@
 	ctx, cancel := context.WithTimeout(ctx, ownerCallTimeout)
 	defer cancel()
 	response, err := g.config.Relay.Client(owner.Address).Length(ctx,
-		connect.NewRequest(&cairnbayv1.LengthRequest{Shard: shard, Queue: queue}))
+		connect.NewRequest(&cairnbayv1.LengthRequest{Shard: shard, Queue: encodePath(queue.Path())}))
 	g.recordOwnerCall(err == nil)
 	if err != nil {
 		return 0, err
@@ -75,5 +90,8 @@
 	if !response.Msg.GetOwner() {
 		return 0, errNoOwner
 	}
+	if response.Msg.GetQueueAbsent() {
+		g.former.setAbsent(queue, shard, asked)
+	}
 	return int(response.Msg.GetWaiting()), nil
 }
--- /dev/null
+++ b/internal/request/gate/moved_test.go
@@ -0,0 +1,189 @@
+package gate_test
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"cairnbay"
+	"cairnbay/internal/request/gate"
+)
+
+// movedTasks is the number of tasks of each job under test.
+const movedTasks = 3
+
+// movedQueue is a queue that configurations lead from class to class. Class c has two
+// shards, a and b have one.
+type movedQueue struct {
+	*localOwners
+	routing atomic.Pointer[cairnbay.Routing]
+	gates   []*gate.Gate
+	// lasting says that the tasks of jobs last, scheduled that they are due in an hour.
+	lasting, scheduled bool
+}
+
+func newMovedQueue(class string) *movedQueue {
+	m := &movedQueue{localOwners: newLocalOwners()}
+	m.lead(class)
+	m.gates = []*gate.Gate{m.newGate(), m.newGate()}
+	for shard, owner := range m.drives {
+		listLocalWorker(m.fleet, owner, shard)
+	}
+	return m
+}
+
+func (m *movedQueue) newGate() *gate.Gate {
+	return m.gate(m.routing.Load, func(id string) cairnbay.Workflow {
+		workflow := cairnbay.Workflow{ID: id, Steps: []cairnbay.WorkflowStep{{
+			Tasks: movedTasks, Size: taskSize, RunTime: time.Second, LongRunning: m.lasting,
+		}}}
+		if m.scheduled {
+			workflow.Occurrences, workflow.FirstDueUnixMS = 1, time.Now().Add(time.Hour).UnixMilli()
+		}
+		return workflow
+	})
+}
+
+// lead puts a configuration in force that leads the queue to a class, under another name.
+func (m *movedQueue) lead(class string) {
+	former := m.routing.Load()
+	next := &cairnbay.Routing{Version: 1}
+	if former != nil {
+		next.Version = former.Version + 1
+	}
+	next.Queues = []cairnbay.Queue{{
+		Name: fmt.Sprint("q", next.Version), Host: "x.test", Prefix: "/q/", Class: class, MaxAttempts: 3, Stretch: 100, TargetLatency: time.Minute,
+	}}
+	m.routing.Store(next)
+}
+
+// send sends a request about a job, or the queue without one, to a gate.
+func (m *movedQueue) send(handler *gate.Gate, method, id string) (status int, body string) {
+	request := httptest.NewRequest(method, "http://x.test/q/"+id, strings.NewReader("{}"))
+	request.Header.Set("Deadline-Ms", "2500")
+	response := httptest.NewRecorder()
+	handler.ServeHTTP(response, request)
+	return response.Code, response.Body.String()
+}
+
+// accept submits jobs until they are accepted.
+func (m *movedQueue) accept(ids ...string) {
+	GinkgoHelper()
+	for _, id := range ids {
+		Eventually(func() int {
+			status, _ := m.send(m.gates[0], http.MethodPost, id)
+			return status
+		}, "5s", "20ms").Should(Equal(http.StatusOK))
+	}
+}
+
+// awaitStarts waits until all tasks of a number of jobs have started.
+func (m *movedQueue) awaitStarts(jobs int) {
+	GinkgoHelper()
+	Eventually(m.fleet.Starts, "5s", "5ms").Should(Equal(jobs * movedTasks))
+}
+
+// Guards against a job that runs twice (TWICE), since the repeat of its submission was
+// accepted by the class that its queue had got meanwhile.
+var _ = DescribeTable("a job whose queue gets another class does not start again",
+	func(from string, lasting bool, jobs int, disrupt func(m *movedQueue, ids []string)) {
+		m := newMovedQueue(from)
+		m.lasting = lasting
+		var ids []string
+		for i := range jobs {
+			ids = append(ids, fmt.Sprint("job", i))
+		}
+		m.accept(ids...)
+		m.awaitStarts(jobs)
+		disrupt(m, ids)
+		starts := m.fleet.Starts()
+		var repeats sync.WaitGroup
+		for _, id := range ids {
+			for _, handler := range m.gates {
+				repeats.Go(func() {
+					defer GinkgoRecover()
+					Eventually(func() int {
+						status, _ := m.send(handler, http.MethodPost, id)
+						return status
+					}, "5s", "50ms").Should(Equal(http.StatusOK))
+				})
+			}
+		}
+		repeats.Wait()
+		Consistently(m.fleet.Starts, "700ms").Should(Equal(starts))
+		Expect(m.fleet.Broken()).To(BeEmpty())
+	},
+	Entry("while it runs", "a", false, 1, func(m *movedQueue, _ []string) { m.lead("b") }),
+	Entry("two at once, from a class of two shards", "c", false, 2, func(m *movedQueue, _ []string) { m.lead("a") }),
+	Entry("with tasks that last, spread over shards", "c", true, 2, func(m *movedQueue, _ []string) { m.lead("b") }),
+	Entry("after two changes", "a", false, 2, func(m *movedQueue, ids []string) {
+		m.lead("b")
+		m.send(m.gates[0], http.MethodPost, ids[0])
+		m.lead("c")
+	}),
+	Entry("there and back", "a", false, 1, func(m *movedQueue, _ []string) {
+		m.lead("b")
+		m.send(m.gates[0], http.MethodGet, "")
+		m.lead("a")
+	}),
+	Entry("after its end", "a", false, 1, func(m *movedQueue, ids []string) {
+		for shard := range m.drives {
+			m.fleet.Slow("w-"+shard, 1e-9)
+		}
+		m.lead("b")
+		Eventually(func() string {
+			_, body := m.send(m.gates[0], http.MethodGet, ids[0])
+			return body
+		}, "5s", "20ms").Should(Equal(cairnbay.WorkflowCompleted.String()))
+	}),
+	Entry("after its cancelling", "a", false, 2, func(m *movedQueue, ids []string) {
+		m.lead("b")
+		for _, id := range ids {
+			m.send(m.gates[0], http.MethodDelete, id)
+		}
+	}),
+	Entry("at an instance that has only read the later configuration", "a", false, 1, func(m *movedQueue, _ []string) {
+		m.lead("b")
+		m.gates = []*gate.Gate{m.newGate()}
+	}),
+	Entry("beside a change of the owner", "a", false, 2, func(m *movedQueue, _ []string) {
+		m.lead("b")
+		m.replace("a")
+		listLocalWorker(m.fleet, m.drives["a"], "a")
+	}),
+)
+
+var _ = Describe("a queue that gets another class", func() {
+	It("counts the jobs that wait in the former one", func() {
+		m := newMovedQueue("a")
+		m.scheduled = true
+		m.accept("one", "two")
+		_, before := m.send(m.gates[0], http.MethodGet, "")
+		Expect(before).To(Equal("2"))
+		m.lead("c")
+		for _, handler := range m.gates {
+			_, after := m.send(handler, http.MethodGet, "")
+			Expect(after).To(Equal(before))
+		}
+	})
+
+	It("asks the owners of other classes only until these have no jobs of it", func() {
+		m := newMovedQueue("a")
+		m.accept("one")
+		m.send(m.gates[0], http.MethodGet, "")
+		delete(m.owners, "b")
+		delete(m.owners, "c~0")
+		delete(m.owners, "c~1")
+		status, _ := m.send(m.gates[0], http.MethodGet, "")
+		Expect(status).To(Equal(http.StatusOK))
+		status, _ = m.send(m.gates[0], http.MethodPost, "two")
+		Expect(status).To(Equal(http.StatusOK))
+	})
+})
--- a/internal/request/gate/spread_test.go
+++ b/internal/request/gate/spread_test.go
@@ -1,32 +1,22 @@
 package gate_test
 
 import (
-	"context"
-	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
-	"github.com/sirupsen/logrus"
 
 	"cairnbay"
 	"cairnbay/internal/fake/agent"
-	"cairnbay/internal/fake/store"
 	"cairnbay/internal/process/drive"
-	"cairnbay/internal/process/sched"
-	"cairnbay/internal/process/tenure"
-	"cairnbay/internal/process/timer"
 	"cairnbay/internal/request/gate"
 )
 
 var _ = Describe("a job that is spread over shards", func() {
 	const tasks = 16
-	taskSize := cairnbay.Resources{MilliCPU: 100, MemoryMB: 100}
-	workerSize := cairnbay.Resources{MilliCPU: 4000, MemoryMB: 4000}
 	workflow := func(id string) cairnbay.Workflow {
 		return cairnbay.Workflow{
 			ID: id, Class: "c", Queue: cairnbay.Queue{Name: "wide", Class: "c", Stretch: 2, TargetLatency: time.Second},
@@ -39,56 +29,16 @@
 		home, away string
 		handler    *gate.Gate
 	)
-	listWorker := func(shard string) {
-		id := "w-" + shard
-		fleet.Add(id, workerSize)
-		drives[shard].SetWorkers([]cairnbay.WorkerEntry{{ID: id, Class: "c", Address: id, Capacity: workerSize}})
-	}
+	listWorker := func(shard string) { listLocalWorker(fleet, drives[shard], shard) }
 	BeforeEach(func() {
-		clock := timer.New()
-		DeferCleanup(clock.Close)
-		fakeStore := store.New(store.Config{Clock: clock})
-		logger := logrus.New()
-		logger.SetOutput(io.Discard)
-		log := logger.WithField("test", true)
-		fleet = agent.New(agent.Config{
-			Now:     timer.Boot,
-			RunTime: func(cairnbay.WorkflowTask) time.Duration { return 2 * time.Hour },
-			Size:    func(cairnbay.WorkflowTask) cairnbay.Resources { return taskSize },
-		})
-		drives = make(map[string]*drive.Drive)
-		shards := owners{}
-		divided, _ := shards.Layout("c")
-		for _, shard := range divided.Names() {
-			shards[shard] = tenure.Owner{Instance: "self"}
-			revision, err := fakeStore.Put(context.Background(), "generation/"+shard, []byte{1}, 0, 0)
-			Expect(err).NotTo(HaveOccurred())
-			drives[shard] = drive.New(drive.Config{
-				Claim: tenure.Claim{
-					Shard: shard, Token: uint64(revision), Generation: 1, ClaimedAt: timer.Boot(),
-					Fence: cairnbay.Expectation{Key: "generation/" + shard, Revision: revision},
-				},
-				Store: fakeStore, Agent: fleet, Clock: clock, BootTime: timer.Boot, Log: log,
-				Lease: 2 * time.Second, EntryTTL: 3 * time.Second, MaxSegments: 1000, MaxGrowth: 1 << 20,
-				AdviceLimits: func() (int, int) { return 1, 1 },
-				Sched:        sched.Config{Retention: time.Minute, StopTime: 50 * time.Millisecond},
-				OnFenced:     func() {},
-			})
-			DeferCleanup(drives[shard].Close)
-		}
+		local := newLocalOwners()
+		fleet, drives = local.fleet, local.drives
+		divided, _ := local.owners.Layout("c")
 		home, away = divided.ShardOfJob("j"), divided.Names()[0]
 		if away == home {
 			away = divided.Names()[1]
 		}
-		handler = gate.New(gate.Config{
-			Format: gate.Format{
-				DeadlineHeader: "Deadline-Ms",
-				DecodeWorkflow: func(id string, _ []byte) (cairnbay.Workflow, error) { return workflow(id), nil },
-			},
-			Routing: func() *cairnbay.Routing { return routing }, Owners: shards,
-			Drive: func(shard string) *drive.Drive { return drives[shard] },
-			Log:   log, Metrics: metrics.NewSet(),
-		})
+		handler = local.gate(func() *cairnbay.Routing { return routing }, workflow)
 	})
 	send := func(method string) int {
 		request := httptest.NewRequest(method, "http://x.test/wide/j", strings.NewReader("{}"))
--- a/internal/request/gate/submit.go
+++ b/internal/request/gate/submit.go
@@ -65,12 +65,48 @@
 	errUncertain = errors.New("not known whether the owner accepted the job")
 )
 
+// findClass returns the class of a submitted job: the queue's, or that which the queue had
+// when a former submission of the job was accepted. It repeats failed calls up to
+// ownerWaitTimeout. Errors: those of inspectShard.
+func (g *Gate) findClass(ctx context.Context, callerReq *callerRequest) (string, error) {
+	for {
+		class, err := g.askFormerClasses(ctx, callerReq)
+		if err == nil || time.Since(callerReq.startedAt) > ownerWaitTimeout || !pause(ctx) {
+			return class, err
+		}
+	}
+}
+
+// askFormerClasses is findClass without repeats.
+func (g *Gate) askFormerClasses(ctx context.Context, callerReq *callerRequest) (string, error) {
+	for class, divided := range g.config.Owners.Layouts() {
+		shard := divided.ShardOfJob(callerReq.id)
+		if class == callerReq.queue.Class || g.former.lacks(&callerReq.queue, shard) {
+			continue
+		}
+		// Without a scope: a job of another workspace makes the submission a conflict.
+		state, err := g.inspectShard(ctx, shard, callerReq, nil)
+		switch {
+		case err != nil:
+			return "", err
+		case state != cairnbay.WorkflowUnknown:
+			return class, nil
+		}
+	}
+	return callerReq.queue.Class, nil
+}
+
 // submitAll submits each assignment of a workflow to its owner, one after the other. If
 // a later one is not accepted, the first ones have been: the job is uncertain until a
 // repeated submission completes it. If the job has been cancelled meanwhile, the
-// missing ones must not start. Errors: errNoOwner, those of submitToOwner.
+// missing ones must not start. Errors: errNoOwner, those of findClass and submitToOwner.
 func (g *Gate) submitAll(ctx context.Context, workflow *cairnbay.Workflow, callerReq *callerRequest) (drive.Verdict, error) {
-	divided, ok := g.awaitLayout(ctx, workflow.Class)
+	class, err := g.findClass(ctx, callerReq)
+	if err != nil {
+		return drive.Verdict{}, err
+	}
+	workflow.Class, workflow.Queue.Class = class, class
+	divided, ok := g.awaitLayout(ctx, class)
 	if !ok {
 		return drive.Verdict{}, errNoOwner
 	}
--- a/workflow.go
+++ b/workflow.go
@@ -96,6 +96,17 @@
 	Advice *AdviceTerms
 }
 
+// QueuePath is what callers address a queue by. It identifies the queue in all versions of
+// the configuration: its name and its class may change.
+type QueuePath struct {
+	Host, Prefix string
+}
+
+// Path returns the path of the queue.
+func (q *Queue) Path() QueuePath {
+	return QueuePath{q.Host, q.Prefix}
+}
+
 // AdviceTerms describe the policy service. Decide is the fixed duration of a call,
 // PerWorker the additional duration for each worker in the call, and Valid the
 // lifetime of a ticket.
