sched: failures of tasks that last do not add up against their workers

Cause: each end `failed` counted against the worker, and only an end `done` lowered the count. Where tasks only last there is none, and from the third failure on each further one closed the worker for up to 8 s.

A task that has been at work for over 3 s counts as a success, and its failure does not count against the worker.

--- a/internal/process/sched/place.go
+++ b/internal/process/sched/place.go
@@ -68,7 +68,7 @@
 	}
 	avoid := c.avoidsDisturbed(now, stage)
 	for _, worker := range c.sortedWorkers {
-		if !worker.usable() || worker.trials > 0 || worker.backoffUntil > now.BootTime || !allowed(worker) || !worker.canRun(stage.spec) {
+		if !c.acceptsTasks(now, worker) || !allowed(worker) || !worker.canRun(stage.spec) {
 			continue
 		}
 		if avoid && worker.disturbed(now) {
@@ -246,7 +246,7 @@
 	if task.failedOn == w.entry.ID {
 		cost += failedWorkerCost
 	}
-	return cost + failureCost*float64(w.failures)
+	return cost + failureCost*float64(w.health.recent(c.plannedAt))
 }
 
 // remainingTime estimates how much longer an attempt runs.
--- a/internal/process/sched/quotademand.go
+++ b/internal/process/sched/quotademand.go
@@ -153,7 +153,7 @@
 		if count >= limit {
 			break
 		}
-		if !worker.usable() || worker.trials > 0 || worker.backoffUntil > now.BootTime || !worker.canRun(stage.spec) {
+		if !c.acceptsTasks(now, worker) || !worker.canRun(stage.spec) {
 			continue
 		}
 		if stage.advice != nil && stage.advice.evaluated[worker.entry.ID] && !stage.advice.allowed(worker.entry.ID) {
--- a/internal/process/sched/result.go
+++ b/internal/process/sched/result.go
@@ -10,12 +10,6 @@
 const (
 	// refusedBackoff is the pause for new tasks on a worker that refused one.
 	refusedBackoff = 800 * time.Millisecond
-	// failedBackoffBase is the pause for new tasks on a worker after
-	// failuresBeforeBackoff failures in a row. It doubles with each further
-	// failure, up to failedBackoffMax.
-	failedBackoffBase     = time.Second
-	failedBackoffMax      = 8 * time.Second
-	failuresBeforeBackoff = 3
 	// stallTimeout is the longest time without a change of progress. A task
 	// takes a fraction of a second per percent, and progress is read with each
 	// hold.
@@ -26,9 +20,6 @@
 	// startedUpPercent is the progress of a long-running task after its
 	// startup.
 	startedUpPercent = 100
-	// stalledBackoff is the pause for new tasks on a worker on which a task
-	// stalled.
-	stalledBackoff = 3 * time.Second
 	// invalidStartBackoff delays the next start of a task that its worker
 	// refused as invalid.
 	invalidStartBackoff = time.Second
@@ -37,6 +28,9 @@
 	// below the time within which such a task must be available again.
 	restartBackoffBase = 100 * time.Millisecond
 	restartBackoffMax  = 800 * time.Millisecond
+	// stableRunTime is the run time beyond which the end of a long-running task does not
+	// count as a failed start.
+	stableRunTime = 3 * time.Second
 )
 
 // findAttempt returns the attempt that a worker's answer concerns, nil if it is
@@ -73,7 +67,7 @@
 	case errors.Is(err, cairnbay.ErrStaleAttempt), errors.Is(err, cairnbay.ErrStartExpired):
 		c.undoStart(now, a)
 	case errors.Is(err, cairnbay.ErrNoRoom), errors.Is(err, cairnbay.ErrOverloaded):
-		a.worker.backoffUntil = now.BootTime + refusedBackoff
+		a.worker.refusedUntil = now.BootTime + refusedBackoff
 		c.undoStart(now, a)
 	case errors.Is(err, cairnbay.ErrInvalid):
 		a.task.notBefore = now.BootTime + invalidStartBackoff
@@ -225,6 +219,10 @@
 		a.percent, a.percentAt = running.Percent, now.BootTime
 		c.observeProgress(now, a)
 	}
+	if !a.stable && a.stage != nil && a.stage.spec.LongRunning && a.percent >= startedUpPercent && now.BootTime-a.startedAt > stableRunTime {
+		a.stable = true
+		worker.health.addSuccess()
+	}
 	c.sampleProgress(now, a, running.Percent)
 	c.checkProgress(now, a)
 	if a.task != nil {
@@ -259,8 +257,7 @@
 	if now.BootTime-a.percentAt <= limit {
 		return
 	}
-	a.worker.failures++
-	a.worker.backoffUntil = max(a.worker.backoffUntil, now.BootTime+stalledBackoff)
+	a.worker.health.addStall(now.BootTime)
 	a.task.failedOn = a.worker.entry.ID
 	c.stop(a, CauseStalled)
 	c.abortGang(a)
@@ -355,9 +352,13 @@
 	switch end.Reason {
 	case cairnbay.AgentDone:
 		records = c.handleDone(now, stage, task, a, end.Attempt)
-		w.failures = 0
+		w.health.addSuccess()
 	case cairnbay.AgentFailed:
-		records = c.handleFailure(now, w, stage, task, end.Attempt)
+		if blamesWorker(stage, attemptEnd.RunTime) {
+			w.health.addFailure(now.BootTime)
+		}
+		task.failedOn = w.entry.ID
+		records = c.handleFailure(now, stage, task, end.Attempt)
 	default:
 		// A former owner may have ordered the attempt, so it need not be attached.
 		stage.saveCheckpoint(task, end.Attempt, end.Checkpoint)
@@ -417,14 +418,7 @@
 }
 
 // handleFailure processes an end that uses up an attempt.
-func (c *Core) handleFailure(now Moment, w *worker, stage *stage, task *task, number int) []Record {
-	w.failures++
-	if w.failures >= failuresBeforeBackoff {
-		// The shift is bounded against overflow.
-		pause := failedBackoffBase << min(w.failures-failuresBeforeBackoff, 3)
-		w.backoffUntil = max(w.backoffUntil, now.BootTime+min(pause, failedBackoffMax))
-	}
-	task.failedOn = w.entry.ID
+func (c *Core) handleFailure(now Moment, stage *stage, task *task, number int) []Record {
 	if stage.spec.LongRunning || task.done {
 		return nil
 	}
@@ -457,7 +451,6 @@
 // delayRestart delays the next start of a long-running task that ends
 // repeatedly after at most stableRunTime. An unknown run time counts as 0.
 func (t *task) delayRestart(now, ran time.Duration) {
-	const stableRunTime = 3 * time.Second
 	if ran > stableRunTime {
 		t.restarts = 0
 	}
--- a/internal/process/sched/sched.go
+++ b/internal/process/sched/sched.go
@@ -104,6 +104,8 @@
 	disturbedWorkers, silentWorkers int
 	plannedAt                       time.Duration
 	reservations                    gangReservations
+	// widespreadFailures is set in a plan while most workers pause because of failures.
+	widespreadFailures bool
 	// maxTrials are the bounds of trials in this plan, not set until a suspect waits.
 	maxTrials trialBounds
 }
--- a/internal/process/sched/worker.go
+++ b/internal/process/sched/worker.go
@@ -24,11 +24,9 @@
 	attempts        map[cairnbay.WorkflowTask]*attempt
 	// lastEndSequence is the sequence of the last end that was handled.
 	lastEndSequence uint64
-	// backoffUntil prevents new tasks on a worker that failed, stalled or
-	// refused one.
-	backoffUntil time.Duration
-	// failures counts failures and stalls since the last success.
-	failures int
+	// refusedUntil prevents new tasks on a worker that refused one.
+	refusedUntil time.Duration
+	health       health
 	// reservedFor is the stage for which tasks are being preempted here. The
 	// worker is reserved for it until reservedUntil.
 	reservedFor   *stage
@@ -95,6 +93,8 @@
 	// percent is the last reported progress, percentAt when it changed.
 	percent   int
 	percentAt time.Duration
+	// stable is set once a long-running task has been at work for longer than stableRunTime.
+	stable bool
 	// savedAt is when the worker last reported a new checkpoint, 0 for never.
 	savedAt time.Duration
 	// predicted is the predicted run time, 0 for none.
