sched: reservations of a gang are bounded for tasks that last

Cause: the gang reserved every worker that it needs, whole, until its expected start, and a task that lasts never ends before that.

A task that lasts may now use what the gang leaves of a worker. Reservations keep a step that lasts waiting for 2 s at most, and any other step too once less than half of the class has been in use for 2 s. On a busy class they keep out long batch work as before. A draining worker's task that lasts is moved only to a place that reservations leave to it.

--- a/internal/process/sched/drain.go
+++ b/internal/process/sched/drain.go
@@ -43,7 +43,7 @@
 	workersWithCapacity := func(allowed func(id string) bool) []string {
 		var workers []string
 		for _, other := range c.candidates(now, stage, nil, func(w *worker) bool { return allowed(w.entry.ID) }) {
-			if c.chooseWorker(stage, a.task, []*worker{other}) != nil {
+			if c.chooseWorker(now, stage, a.task, []*worker{other}) != nil {
 				workers = append(workers, other.entry.ID)
 			}
 		}
--- a/internal/process/sched/gang.go
+++ b/internal/process/sched/gang.go
@@ -35,17 +35,16 @@
 		return nil
 	}
 	c.noteGangWait(now, stage, GangWaitCapacity)
-	workers := make([]string, 0, len(fits))
 	for _, fit := range fits {
-		workers = append(workers, fit.worker.entry.ID)
-		if preempt {
-			for _, victim := range fit.victims {
-				c.stop(victim, CausePreempted)
-			}
+		if !preempt {
+			break
+		}
+		for _, victim := range fit.victims {
+			c.stop(victim, CausePreempted)
 		}
 	}
-	reservations.add(now, stage, c.isSurplus(stage.job), workers, startsAt)
-	return workers
+	reservations.add(now, stage, c.isSurplus(stage.job), fits, startsAt)
+	return stage.held.workers
 }
 
 // stopIncompleteGang stops the members of a gang if they are not all attached under
@@ -151,6 +150,7 @@
 	})
 	unplaced := len(stage.tasks)
 	for i, fit := range fits {
+		fits[i].tasks = min(fit.tasks, unplaced)
 		unplaced -= fit.tasks
 		if unplaced <= 0 {
 			return fits[:i+1]
--- a/internal/process/sched/health_test.go
+++ b/internal/process/sched/health_test.go
@@ -14,7 +14,7 @@
 
 // lastingJob is a job of tasks that run until they fail.
 func lastingJob(id string, tasks, perWorker int, size cairnbay.Resources) cairnbay.Workflow {
-	job := singleStep(id, quotes, tasks, size, time.Second)
+	job := singleStep(id, catalogue, tasks, size, time.Second)
 	job.Steps[0].LongRunning, job.Steps[0].MaxPerWorker, job.Steps[0].Checkpoints = true, perWorker, false
 	return job
 }
--- a/internal/process/sched/job.go
+++ b/internal/process/sched/job.go
@@ -85,6 +85,10 @@
 	quotaHeldSince time.Duration
 	// held are the reservations of a gang that waits.
 	held heldReservations
+	// blockedByGang is set if a reservation blocked a worker for the stage when it was last
+	// placed, and reservedOutSince is since when that has left tasks waiting, 0 for not.
+	blockedByGang    bool
+	reservedOutSince time.Duration
 	// gangWait is set while a gang is ready to start and waits.
 	gangWait *gangWait
 	// runs holds the learned run times of the stage, nil before the first.
--- a/internal/process/sched/place.go
+++ b/internal/process/sched/place.go
@@ -15,6 +15,8 @@
 func (c *Core) place(now Moment, stage *stage, reservations gangReservations, allowed func(*worker) bool) []*attempt {
 	size := demand(stage.spec)
 	stage.speedWeight = c.speedWeight(now, stage)
+	stage.blockedByGang = false
+	defer stage.noteReservedOut(now)
 	candidates := c.candidates(now, stage, reservations, func(w *worker) bool { return size.Fits(w.free()) && allowed(w) })
 	room := c.quotaRoom(now, stage)
 	if len(candidates) == 0 || room < stage.startUnit() {
@@ -44,7 +46,7 @@
 			}
 			continue
 		}
-		target := c.chooseWorker(stage, task, candidates)
+		target := c.chooseWorker(now, stage, task, candidates)
 		if target == nil {
 			break
 		}
@@ -62,10 +64,6 @@
 // checks that differ by stage: on a class full of work it rules out most workers.
 func (c *Core) candidates(now Moment, stage *stage, reservations gangReservations, allowed func(*worker) bool) []*worker {
 	var candidates []*worker
-	endsAt := now.BootTime + c.runTime(stage.job.workflow.Queue.Name, stage.spec)
-	if stage.spec.LongRunning {
-		endsAt = now.BootTime + indefinite
-	}
 	avoid := c.avoidsDisturbed(now, stage)
 	for _, worker := range c.sortedWorkers {
 		if !c.acceptsTasks(now, worker) || !allowed(worker) || !worker.canRun(stage.spec) {
@@ -74,10 +72,7 @@
 		if avoid && worker.disturbed(now) {
 			continue
 		}
-		if len(reservations) > 0 && c.uses.Reserve && !stage.spec.LongRunning {
-			endsAt = now.BootTime + c.runTimeOn(stage, worker)
-		}
-		if reservations.blocks(stage, worker.entry.ID, endsAt) {
+		if !c.mayUseReserved(now, stage, worker, reservations) {
 			continue
 		}
 		if worker.reservedFor != nil && worker.reservedFor != stage && worker.reservedUntil > now.BootTime &&
@@ -132,7 +127,7 @@
 func (c *Core) placeGangOn(now Moment, stage *stage, group []*worker, number int) []*attempt {
 	var placed []*attempt
 	for i := range stage.tasks {
-		target := c.chooseWorker(stage, &stage.tasks[i], group)
+		target := c.chooseWorker(now, stage, &stage.tasks[i], group)
 		if target == nil {
 			for _, attempt := range placed {
 				c.detach(attempt)
@@ -182,7 +177,7 @@
 
 // chooseWorker returns the worker with the lowest placement cost, nil if the
 // task fits on none.
-func (c *Core) chooseWorker(stage *stage, task *task, candidates []*worker) *worker {
+func (c *Core) chooseWorker(now Moment, stage *stage, task *task, candidates []*worker) *worker {
 	var best, usual *worker
 	lowest, usualLowest := 0.0, 0.0
 	size := demand(stage.spec)
@@ -194,6 +189,10 @@
 		if _, taken := worker.attempts[stage.ref(task.index)]; taken {
 			continue
 		}
+		// Tasks that were placed before may have used what a gang leaves free.
+		if !c.mayUseReserved(now, stage, worker, c.reservations) {
+			continue
+		}
 		if limit := stage.spec.MaxPerWorker; limit > 0 && stage.attemptsPerWorker[worker.entry.ID] >= limit {
 			continue
 		}
--- a/internal/process/sched/plan.go
+++ b/internal/process/sched/plan.go
@@ -168,6 +168,7 @@
 	reservations := c.heldReservations(now)
 	c.plannedAt, c.reservations = now.BootTime, reservations
 	c.widespreadFailures = c.failuresWidespread(now)
+	c.updateIdle(now)
 	maps.DeleteFunc(c.queueRisks, func(_ string, queue *queueRisk) bool { return queue.until <= now.BootTime })
 	c.startsHeld = false
 	c.maxTrials = trialBounds{}
--- a/internal/process/sched/reservation.go
+++ b/internal/process/sched/reservation.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"cairnbay"
 )
 
 const (
@@ -15,18 +17,25 @@
 	// reservationTime is how long reservations last after the plan that made them. It
 	// exceeds the interval between plans, in which a gang renews them.
 	reservationTime = 500 * time.Millisecond
+	// maxReservedWait is how long reservations may keep a long-running step from starting,
+	// and any other one on a class of which less than idleShare has been in use for as long. It is below the
+	// time within which a task must start if there is capacity for it.
+	maxReservedWait = 2 * time.Second
+	idleShare       = 0.5
 )
 
 // gangReservations holds the workers reserved for waiting gangs, by worker ID.
-// A task may backfill a reserved worker if it ends before the gang starts.
+// A task may backfill a reserved worker if it ends before the gang starts, or is
+// long-running and fits there beside the gang.
 type gangReservations map[string]gangReservation
 
 type gangReservation struct {
 	stage *stage
 	// surplus is set for a gang that is surplus; it keeps no worker from entitled work.
 	surplus bool
-	// startsAt is when the gang is expected to start there.
+	// startsAt is when the gang is expected to start there, members how many of its tasks.
 	startsAt time.Duration
+	members  int
 	// earlier is set for a reservation of an earlier plan. It keeps no worker from work of
 	// a higher priority, which may precede the gang now.
 	earlier bool
@@ -36,7 +45,9 @@
 // call for their tickets. Without that, other work would take them before the call ends,
 // and the gang would ask again and again.
 type heldReservations struct {
-	workers         []string
+	workers []string
+	// members are the numbers of tasks of the gang, by worker.
+	members         map[string]int
 	startsAt, until time.Duration
 }
 
@@ -59,17 +70,20 @@
 	reservations := make(gangReservations)
 	for _, stage := range holders {
 		for _, id := range stage.held.workers {
-			reservations[id] = gangReservation{stage, c.isSurplus(stage.job), stage.held.startsAt, true}
+			reservations[id] = gangReservation{stage, c.isSurplus(stage.job), stage.held.startsAt, stage.held.members[id], true}
 		}
 	}
 	return reservations
 }
 
 // add reserves workers for a gang.
-func (r gangReservations) add(now Moment, stage *stage, surplus bool, workers []string, startsAt time.Duration) {
-	stage.held = heldReservations{workers, startsAt, now.BootTime + reservationTime}
-	for _, id := range workers {
-		r[id] = gangReservation{stage: stage, surplus: surplus, startsAt: startsAt}
+func (r gangReservations) add(now Moment, stage *stage, surplus bool, fits []gangFit, startsAt time.Duration) {
+	stage.held = heldReservations{members: make(map[string]int, len(fits)), startsAt: startsAt, until: now.BootTime + reservationTime}
+	for _, fit := range fits {
+		id := fit.worker.entry.ID
+		stage.held.workers = append(stage.held.workers, id)
+		stage.held.members[id] = fit.tasks
+		r[id] = gangReservation{stage: stage, surplus: surplus, startsAt: startsAt, members: fit.tasks}
 	}
 }
 
@@ -94,6 +108,81 @@
 	return !precedes && (!reservation.surplus || stage.job.surplus)
 }
 
+// spareFor is the capacity of a reserved worker that the gang leaves free when it starts
+// there.
+func (c *Core) spareFor(now Moment, w *worker, reservation gangReservation) cairnbay.Resources {
+	spare := w.entry.Capacity.Sub(demand(reservation.stage.spec).Times(reservation.members))
+	for _, a := range w.attempts {
+		if remaining := c.remainingTime(now, a); remaining >= indefinite || now.BootTime+remaining > reservation.startsAt+reservationTime {
+			spare = spare.Sub(a.size)
+		}
+	}
+	return spare
+}
+
+// mayUseReserved reports whether a task of a stage may start on a worker as far as
+// reservations are concerned: it ends before the gang starts there, or is long-running and
+// fits beside the gang, or the stage has waited for long enough. Work that ends later than
+// the gang starts may not start beside it: the gang would find fewer workers if another one
+// becomes free first.
+func (c *Core) mayUseReserved(now Moment, stage *stage, w *worker, reservations gangReservations) bool {
+	reservation, reserved := reservations[w.entry.ID]
+	if !reserved || reservation.stage == stage {
+		return true
+	}
+	runTime := indefinite
+	switch {
+	case stage.spec.LongRunning:
+	case c.uses.Reserve:
+		runTime = c.runTimeOn(stage, w)
+	default:
+		runTime = c.runTime(stage.job.workflow.Queue.Name, stage.spec)
+	}
+	if !reservations.blocks(stage, w.entry.ID, now.BootTime+runTime) {
+		return true
+	}
+	stage.blockedByGang = true
+	return c.outwaits(now, stage) || stage.spec.LongRunning && demand(stage.spec).Fits(c.spareFor(now, w, reservation))
+}
+
+// outwaits reports whether reservations no longer keep a stage from starting. On a class
+// that is mostly idle they would keep out work that takes nothing from the gang but the
+// choice of its workers; on a busy one small work would start before any gang.
+func (c *Core) outwaits(now Moment, stage *stage) bool {
+	if stage.reservedOutSince == 0 || now.BootTime-stage.reservedOutSince < maxReservedWait {
+		return false
+	}
+	return stage.spec.LongRunning || c.idleSince > 0 && now.BootTime-c.idleSince >= maxReservedWait
+}
+
+// noteReservedOut updates since when reservations have kept a stage from starting, after
+// it was placed.
+func (s *stage) noteReservedOut(now Moment) {
+	switch {
+	case !s.blockedByGang || s.waiting == 0:
+		s.reservedOutSince = 0
+	case s.reservedOutSince == 0:
+		s.reservedOutSince = now.BootTime
+	}
+}
+
+// updateIdle updates since when less than idleShare of the usable workers' capacity is in
+// use.
+func (c *Core) updateIdle(now Moment) {
+	var used, capacity cairnbay.Resources
+	for _, w := range c.sortedWorkers {
+		if w.usable() {
+			used, capacity = used.Add(w.used), capacity.Add(w.entry.Capacity)
+		}
+	}
+	switch {
+	case used.DominantShare(capacity) >= idleShare:
+		c.idleSince = 0
+	case c.idleSince == 0:
+		c.idleSince = now.BootTime
+	}
+}
+
 func (r gangReservations) gangs() int {
 	stages := make(map[*stage]struct{})
 	for _, reservation := range r {
--- a/internal/process/sched/sched.go
+++ b/internal/process/sched/sched.go
@@ -106,6 +106,8 @@
 	reservations                    gangReservations
 	// widespreadFailures is set in a plan while most workers pause because of failures.
 	widespreadFailures bool
+	// idleSince is since when little of the class is in use, 0 for not.
+	idleSince time.Duration
 	// maxTrials are the bounds of trials in this plan, not set until a suspect waits.
 	maxTrials trialBounds
 }
--- a/internal/process/sched/straggler.go
+++ b/internal/process/sched/straggler.go
@@ -286,7 +286,7 @@
 		})
 	}
 	if stage.job.workflow.Queue.Advice == nil {
-		return c.chooseWorker(stage, task, idle(func(string) bool { return true })), nil
+		return c.chooseWorker(now, stage, task, idle(func(string) bool { return true })), nil
 	}
 	advice := stage.advice
 	if advice == nil || advice.inFlight {
@@ -296,7 +296,7 @@
 	if !s.copies {
 		startsAt += c.config.StopTime
 	}
-	if target := c.chooseWorker(stage, task, idle(func(id string) bool { return advice.valid(id, startsAt) })); target != nil {
+	if target := c.chooseWorker(now, stage, task, idle(func(id string) bool { return advice.valid(id, startsAt) })); target != nil {
 		return target, nil
 	}
 	if !c.mayCallPolicy(stage) || advice.requestedAt > 0 && now.BootTime-advice.requestedAt < adviceRetryPause {
--- a/internal/process/sched/trial.go
+++ b/internal/process/sched/trial.go
@@ -173,7 +173,7 @@
 	var best *worker
 	fewest := 0
 	for _, target := range candidates {
-		if target.trials > 0 || c.chooseWorker(stage, task, []*worker{target}) == nil {
+		if target.trials > 0 || c.chooseWorker(now, stage, task, []*worker{target}) == nil {
 			continue
 		}
 		left := target.reservedUntil - now.BootTime
