drive: the path of a job's queue is stored with the job

A job whose path is not known, of an earlier version of the program, counts by the name of its queue.

--- a/internal/process/drive/encode.go
+++ b/internal/process/drive/encode.go
@@ -21,6 +21,7 @@
 			Name: workflow.Queue.Name, Priority: int32(workflow.Queue.Priority),
 			MaxAttempts: int32(workflow.Queue.MaxAttempts), Stretch: workflow.Queue.Stretch,
 			TargetLatencyUs: workflow.Queue.TargetLatency.Microseconds(),
+			Path:            &cairnbayv1.QueuePath{Host: workflow.Queue.Host, Prefix: workflow.Queue.Prefix},
 		},
 	}
 	if advice := workflow.Queue.Advice; advice != nil {
@@ -60,6 +61,7 @@
 			Name: terms.GetName(), Class: message.GetClass(), Priority: int(terms.GetPriority()),
 			MaxAttempts: int(terms.GetMaxAttempts()), Stretch: terms.GetStretch(),
 			TargetLatency: microseconds(terms.GetTargetLatencyUs()),
+			Host:          terms.GetPath().GetHost(), Prefix: terms.GetPath().GetPrefix(),
 		},
 	}
 	if terms.GetAdviceValidUs() > 0 {
--- a/internal/process/drive/submit.go
+++ b/internal/process/drive/submit.go
@@ -241,13 +241,13 @@
 
 // Length returns the number of accepted jobs of a queue that have started no task;
 // owner is as for Inspect.
-func (d *Drive) Length(queue cairnbay.QueuePath) (waiting int, owner bool) {
+func (d *Drive) Length(path cairnbay.QueuePath, name string) (waiting int, owner bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if !d.loaded || d.fenced {
 		return 0, false
 	}
-	return d.core.WaitingJobs(queue), true
+	return d.core.WaitingJobs(path, name), true
 }
 
 // LacksQueue reports whether the drive certainly has no job of a queue, ended ones
--- a/internal/process/relay/relay.go
+++ b/internal/process/relay/relay.go
@@ -120,10 +120,10 @@
 ) (*connect.Response[cairnbayv1.LengthResponse], error) {
 	response := &cairnbayv1.LengthResponse{}
 	if owner := r.config.Drive(request.Msg.GetShard()); owner != nil {
-		path := decodePath(request.Msg.GetQueue())
-		waiting, isOwner := owner.Length(path)
+		path := decodePath(request.Msg.GetPath())
+		waiting, isOwner := owner.Length(path, request.Msg.GetQueue())
 		response.Owner, response.Waiting = isOwner, int64(waiting)
-		response.QueueAbsent = request.Msg.GetQueue() != nil && owner.LacksQueue(path)
+		response.QueueAbsent = request.Msg.GetPath() != nil && owner.LacksQueue(path)
 	}
 	return connect.NewResponse(response), nil
 }
--- a/internal/process/sched/accept.go
+++ b/internal/process/sched/accept.go
@@ -103,10 +103,15 @@
 }
 
 // WaitingJobs counts the accepted jobs of a queue that have started no task.
-func (c *Core) WaitingJobs(queue cairnbay.QueuePath) int {
+// A job whose path is not known counts by the name of its queue.
+func (c *Core) WaitingJobs(path cairnbay.QueuePath, name string) int {
 	count := 0
 	for _, job := range c.jobs {
-		if !job.started && !job.ended && job.workflow.Queue.Path() == queue {
+		if job.started || job.ended {
+			continue
+		}
+		known := job.workflow.Queue.Path()
+		if known == path || known == (cairnbay.QueuePath{}) && job.workflow.Queue.Name == name {
 			count++
 		}
 	}
--- a/internal/process/sched/begun_test.go
+++ b/internal/process/sched/begun_test.go
@@ -17,7 +17,7 @@
 		core.Accept(now, singleStep("j", catalogue, 2, cores(1, 100), time.Second), true)
 		core.Replay(now, sched.Record{Kind: sched.RecordDone, Task: task("j", 0), Attempt: formerAttempt})
 		Expect(core.State("j")).To(Equal(cairnbay.WorkflowRunning))
-		Expect(core.WaitingJobs(catalogue.Path())).To(BeZero())
+		Expect(core.WaitingJobs(catalogue.Path(), catalogue.Name)).To(BeZero())
 	})
 
 	It("is still shown as begun after its only attempt failed", func() {
@@ -26,6 +26,6 @@
 		core.Accept(now, singleStep("j", catalogue, 1, cores(1, 100), time.Second), true)
 		core.Replay(now, sched.Record{Kind: sched.RecordFailed, Task: task("j", 0), Attempt: formerAttempt})
 		Expect(core.State("j")).To(Equal(cairnbay.WorkflowRunning))
-		Expect(core.WaitingJobs(catalogue.Path())).To(BeZero())
+		Expect(core.WaitingJobs(catalogue.Path(), catalogue.Name)).To(BeZero())
 	})
 })
--- a/internal/process/sched/load_test.go
+++ b/internal/process/sched/load_test.go
@@ -157,7 +157,7 @@
 		if load.at > sim.now {
 			sim.advance(load.at - sim.now)
 		}
-		if sim.core.WaitingJobs(meshes.Path())+sim.core.WaitingJobs(models.Path()) >= limit {
+		if sim.core.WaitingJobs(meshes.Path(), meshes.Name)+sim.core.WaitingJobs(models.Path(), models.Name) >= limit {
 			sim.submitted[load.job.ID], sim.refused[load.job.ID] = sim.now, true
 			sim.jobs[load.job.ID], sim.runTimes[load.job.ID] = load.job, load.runTimes
 			continue
--- a/internal/process/sched/starts_test.go
+++ b/internal/process/sched/starts_test.go
@@ -56,14 +56,14 @@
 		core.Accept(now, singleStep("j", quotes, 1, cores(1, 100), time.Second), false)
 		actions := core.Plan(now)
 		Expect(startsOf(actions)).To(Equal([]string{"j"}))
-		Expect(core.WaitingJobs(quotes.Path())).To(Equal(1))
+		Expect(core.WaitingJobs(quotes.Path(), quotes.Name)).To(Equal(1))
 		core.HandleStart(now, actions[0].Start, cairnbay.ErrUnknown)
-		Expect(core.WaitingJobs(quotes.Path())).To(Equal(1))
+		Expect(core.WaitingJobs(quotes.Path(), quotes.Name)).To(Equal(1))
 		now.BootTime += 100 * time.Millisecond
 		core.HandleHold(now, "w", now.BootTime, cairnbay.AgentState{Running: []cairnbay.AgentTask{{
 			Task: task("j", 0), Attempt: actions[0].Start.Attempt,
 		}}})
-		Expect(core.WaitingJobs(quotes.Path())).To(BeZero())
+		Expect(core.WaitingJobs(quotes.Path(), quotes.Name)).To(BeZero())
 	})
 
 	It("are stopped again only after the result of the last stop", func() {
--- a/internal/request/gate/gate_test.go
+++ b/internal/request/gate/gate_test.go
@@ -107,7 +107,7 @@
 func (o *owner) Length(
 	_ context.Context, request *connect.Request[cairnbayv1.LengthRequest],
 ) (*connect.Response[cairnbayv1.LengthResponse], error) {
-	if !hasQueue(request.Msg.GetShard(), request.Msg.GetQueue()) {
+	if !hasQueue(request.Msg.GetShard(), request.Msg.GetPath()) {
 		return connect.NewResponse(&cairnbayv1.LengthResponse{Owner: true, QueueAbsent: true}), nil
 	}
 	return connect.NewResponse(&cairnbayv1.LengthResponse{Owner: true, Waiting: 12}), nil
--- a/internal/request/gate/length.go
+++ b/internal/request/gate/length.go
@@ -71,7 +71,7 @@
 	}
 	asked := time.Now()
 	if localDrive := g.config.Drive(shard); localDrive != nil {
-		if waiting, isOwner := localDrive.Length(queue.Path()); isOwner {
+		if waiting, isOwner := localDrive.Length(queue.Path(), queue.Name); isOwner {
 			if localDrive.LacksQueue(queue.Path()) {
 				g.former.setAbsent(queue, shard, asked)
 			}
@@ -82,7 +82,7 @@
 	ctx, cancel := context.WithTimeout(ctx, ownerCallTimeout)
 	defer cancel()
 	response, err := g.config.Relay.Client(owner.Address).Length(ctx,
-		connect.NewRequest(&cairnbayv1.LengthRequest{Shard: shard, Queue: encodePath(queue.Path())}))
+		connect.NewRequest(&cairnbayv1.LengthRequest{Shard: shard, Queue: queue.Name, Path: encodePath(queue.Path())}))
 	g.recordOwnerCall(err == nil)
 	if err != nil {
 		return 0, err
--- a/internal/request/gate/moved_test.go
+++ b/internal/request/gate/moved_test.go
@@ -167,6 +167,8 @@
 		m.accept("one", "two")
 		_, before := m.send(m.gates[0], http.MethodGet, "")
 		Expect(before).To(Equal("2"))
+		m.replace("a") // The next owner reads the jobs from the journal.
+		listLocalWorker(m.fleet, m.drives["a"], "a")
 		m.lead("c")
 		for _, handler := range m.gates {
 			_, after := m.send(handler, http.MethodGet, "")
