--- a/internal/process/sched/result.go
+++ b/internal/process/sched/result.go
@@ -66,7 +66,7 @@
 		c.undoStart(now, a)
 	case errors.Is(err, cairnbay.ErrStaleAttempt), errors.Is(err, cairnbay.ErrStartExpired):
 		c.undoStart(now, a)
-	case errors.Is(err, cairnbay.ErrNoRoom), errors.Is(err, cairnbay.ErrOverloaded):
+	case errors.Is(err, cairnbay.ErrNoRoom), errors.Is(err, cairnbay.ErrOverloaded), errors.Is(err, cairnbay.ErrUnavailable):
 		a.worker.refusedUntil = now.BootTime + refusedBackoff
 		c.undoStart(now, a)
 	case errors.Is(err, cairnbay.ErrInvalid):
--- a/internal/process/sched/sched_test.go
+++ b/internal/process/sched/sched_test.go
@@ -465,3 +465,25 @@
 		Expect(core.State("j")).To(Equal(cairnbay.WorkflowUnknown))
 	})
 })
+
+// Guards against tasks that wait for the stop of a start that was never sent.
+var _ = DescribeTable("a start that was not sent goes to another worker at once", func(err error) {
+	now := sched.Moment{BootTime: time.Second, UnixMS: 1000}
+	core := sched.New(config)
+	for _, id := range []string{"a", "b"} {
+		core.SetWorker(cairnbay.WorkerEntry{ID: id, Capacity: cores(8, 8000)})
+		core.HandleHold(now, id, now.BootTime, cairnbay.AgentState{})
+	}
+	core.Accept(now, singleStep("j", quotes, 1, cores(1, 100), time.Second), false)
+	first := core.Plan(now)
+	Expect(first).To(HaveLen(1))
+	core.HandleStart(now, first[0].Start, err)
+	second := core.Plan(now)
+	Expect(second).To(HaveLen(1))
+	Expect(second[0].Start).NotTo(BeNil())
+	Expect(second[0].Start.Target.Worker).NotTo(Equal(first[0].Start.Target.Worker))
+},
+	Entry("no connection", cairnbay.ErrUnavailable),
+	Entry("no room", cairnbay.ErrNoRoom),
+	Entry("overloaded", cairnbay.ErrOverloaded),
+)
