soak: jobs of tasks that last, and a check of cancelled jobs

One job in ten has tasks that last and is cancelled within 3 s. No task of a cancelled job may start later than 5 s after the answer, or run 10 s after the last fault.

--- a/internal/tool/soak/callers.go
+++ b/internal/tool/soak/callers.go
@@ -49,6 +49,15 @@
 	// gangShare is one in so many jobs of a caller whose steps are gangs, of one
 	// member more than another job has tasks: a gang of one never waits.
 	gangShare = 4
+	// lastingShare is one in so many jobs of a caller whose tasks last. It is cancelled
+	// after lastingMost at the latest.
+	lastingShare = 10
+	lastingMost  = 3 * time.Second
+	// cancelBound is how long after the answer to a cancellation an owner that does not
+	// know of it yet may start a task, and stopBound how long after the last fault a task of
+	// a cancelled job may run.
+	cancelBound = 5 * time.Second
+	stopBound   = 10 * time.Second
 )
 
 // job is one submission with what became of it.
@@ -56,8 +65,12 @@
 	id           string
 	steps, tasks int
 	gang, deadly bool
-	outcome      outcome
-	identity     identity
+	// lasting says that the tasks run until the job is cancelled.
+	lasting bool
+	outcome outcome
+	// cancelledAt is the boot time of the answer to the cancellation.
+	cancelledAt time.Duration
+	identity    identity
 }
 
 // callers submit jobs to random instances.
@@ -99,7 +112,12 @@
 					one.tasks++
 					c.world.gangs.Store(one.id, one.tasks)
 				}
-				if number%deadlyShare == deadlyShare-1 {
+				if number%lastingShare == lastingShare-1 {
+					one.lasting, one.steps, one.gang = true, 1, false
+					c.world.gangs.Delete(one.id)
+					c.world.lasting.Store(one.id, true)
+				}
+				if number%deadlyShare == deadlyShare-1 && !one.lasting {
 					one.deadly = true
 					c.world.deadly.Store(one.id, true)
 				}
@@ -160,16 +178,19 @@
 	c.mu.Unlock()
 	for range tries {
 		body := stand.Job(one.steps, one.tasks, taskSize, one.gang)
+		if one.lasting {
+			body = stand.LastingJob(one.tasks, taskSize)
+		}
 		status, _ := c.call(ctx, random, http.MethodPost, one.id, one.identity.pick(c.world.book, random), body)
 		switch status {
 		case http.StatusOK:
 			one.outcome = accepted
 			c.tryAsOther(ctx, random, one)
-			if random.IntN(cancelShare) == 0 {
-				status, _ := c.call(ctx, random, http.MethodDelete, one.id, one.identity.held(c.world.book), nil)
-				if status != http.StatusGone && status != http.StatusUnauthorized {
-					one.outcome = cancelled
-				}
+			if one.lasting {
+				time.Sleep(time.Duration(random.Int64N(int64(lastingMost))))
+			}
+			if one.lasting || random.IntN(cancelShare) == 0 {
+				c.cancel(ctx, random, one)
 			}
 			return
 		case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusNotFound, http.StatusUnauthorized:
@@ -178,6 +199,59 @@
 		}
 		time.Sleep(time.Duration(random.Int64N(int64(pauseMost))))
 	}
+	if one.lasting && one.outcome == uncertain {
+		c.cancel(ctx, random, one)
+	}
+}
+
+// cancel cancels a job, one that lasts until it has an answer.
+func (c *callers) cancel(ctx context.Context, random *rand.Rand, one *job) {
+	for ctx.Err() == nil {
+		status, _ := c.call(ctx, random, http.MethodDelete, one.id, one.identity.held(c.world.book), nil)
+		if status != http.StatusGone && status != http.StatusUnauthorized {
+			one.outcome = cancelled
+		}
+		switch {
+		case status == http.StatusOK:
+			one.cancelledAt = timer.Boot()
+			return
+		case status == http.StatusGone && one.lasting && one.outcome == accepted:
+			c.report("job %s was accepted and is not known to its cancellation", one.id)
+			return
+		case status == http.StatusGone, status == http.StatusUnauthorized, !one.lasting:
+			return
+		}
+		time.Sleep(time.Duration(random.Int64N(int64(pauseMost))))
+	}
+}
+
+// checkCancelled returns the cancelled jobs of which a task started long after the answer,
+// or does not end.
+func (c *callers) checkCancelled() (broken []string) {
+	ids := make(map[string]bool)
+	for _, one := range c.jobs {
+		if one.cancelledAt == 0 {
+			continue
+		}
+		ids[one.id] = true
+		if late := c.world.fleet.LastStart(one.id) - one.cancelledAt; late > cancelBound {
+			broken = append(broken, fmt.Sprintf("a task of job %s started %v after its cancellation", one.id, late))
+		}
+	}
+	var running []string
+	for deadline := time.Now().Add(stopBound); ; time.Sleep(50 * time.Millisecond) {
+		running = running[:0]
+		for worker := range c.world.toWorker {
+			for _, task := range c.world.fleet.Running(c.world.worker(worker)) {
+				if ids[task.Job] {
+					running = append(running, fmt.Sprintf("task %v of a cancelled job runs on", task))
+				}
+			}
+		}
+		if len(running) == 0 || time.Now().After(deadline) {
+			return append(broken, running...)
+		}
+	}
 }
 
 // call makes one request to a random instance; status 0 stands for no answer. A
@@ -221,6 +295,7 @@
 func (c *callers) check(ctx context.Context) []string {
 	random := rand.New(rand.NewPCG(c.world.config.Seed, 0))
 	deadline := time.Now().Add(settleWait)
+	c.broken = append(c.broken, c.checkCancelled()...)
 	for _, one := range c.jobs {
 		if one.identity.invented && c.world.fleet.Started(one.id) {
 			c.broken = append(c.broken, fmt.Sprintf("job %s ran for keys that no configuration held", one.id))
--- a/internal/tool/soak/world.go
+++ b/internal/tool/soak/world.go
@@ -33,6 +33,8 @@
 	prefix = "/q/"
 	// runTime is how long a task runs.
 	runTime = 250 * time.Millisecond
+	// lastingTime is how long one runs that lasts, unless it is stopped.
+	lastingTime = time.Hour
 	// gangTime is how long a member of a gang waits for the others, the shortest
 	// time of the platform.
 	gangTime = 3 * time.Second
@@ -92,6 +94,8 @@
 	later     sync.WaitGroup
 	// deadly are the IDs of the jobs of which a task crashes its workers.
 	deadly sync.Map
+	// lasting are the IDs of the jobs whose tasks last.
+	lasting sync.Map
 	// gangs are the numbers of members of the jobs whose steps are gangs, by job ID.
 	gangs sync.Map
 	// began is the boot time at which the schedule of faults began.
@@ -108,11 +112,16 @@
 	w := &world{config: config, clock: clock, store: store.New(store.Config{Clock: clock})}
 	w.quota.tasks = config.Quota
 	w.fleet = agent.New(agent.Config{
-		Now:     timer.Boot,
-		RunTime: func(cairnbay.WorkflowTask) time.Duration { return runTime },
-		Fails:   func(task cairnbay.WorkflowTask, attempt int) bool { return task.Index == 1 && attempt%3 == 1 },
-		Size:    func(cairnbay.WorkflowTask) cairnbay.Resources { return taskSize },
-		Gang:    func(task cairnbay.WorkflowTask) int { return w.gangSize(task.Job) }, GangTime: gangTime,
+		Now: timer.Boot,
+		RunTime: func(task cairnbay.WorkflowTask) time.Duration {
+			if _, lasting := w.lasting.Load(task.Job); lasting {
+				return lastingTime
+			}
+			return runTime
+		},
+		Fails: func(task cairnbay.WorkflowTask, attempt int) bool { return task.Index == 1 && attempt%3 == 1 },
+		Size:  func(cairnbay.WorkflowTask) cairnbay.Resources { return taskSize },
+		Gang:  func(task cairnbay.WorkflowTask) int { return w.gangSize(task.Job) }, GangTime: gangTime,
 		Crash: agent.CrashPlan{
 			Deadly: w.isDeadly, After: func() time.Duration { return crashAfter }, Downtime: crashDowntime,
 		},
