--- a/internal/process/drive/inherited.go
+++ b/internal/process/drive/inherited.go
@@ -10,8 +10,8 @@
 )
 
 // resolveInherited removes a worker from the inherited ones after it answered with all
-// its ends or was counted as lost, and ends the recovery with the last one; the caller holds
-// the lock.
+// its ends or was counted as lost, and ends the recovery with the last one; the caller
+// holds the lock.
 func (d *Drive) resolveInherited(id string) {
 	if _, ok := d.inherited[id]; !ok {
 		return
@@ -28,7 +28,7 @@
 
 // expireInherited counts inherited workers that have not answered as lost, once
 // their leases have certainly ended; the caller holds the lock. A worker that has not
-// listed all its ends yet has answered: their tasks must not start again.
+// listed all its ends yet has answered: the tasks of the others must not start again.
 func (d *Drive) expireInherited(now time.Duration) {
 	d.dropDeparted(now)
 	if len(d.inherited) == 0 {
--- a/internal/process/sched/accept.go
+++ b/internal/process/sched/accept.go
@@ -102,8 +102,8 @@
 	return job != nil && job.ended && !job.cancelled && job.unwritten > 0
 }
 
-// WaitingJobs counts the accepted jobs of a queue that have started no task.
-// A job whose path is not known counts by the name of its queue.
+// WaitingJobs counts the accepted jobs of a queue that have started no task. A job whose
+// path is not known counts by the name of its queue.
 func (c *Core) WaitingJobs(path cairnbay.QueuePath, name string) int {
 	count := 0
 	for _, job := range c.jobs {
@@ -118,8 +118,8 @@
 	return count
 }
 
-// MayHaveJobsOf reports whether any job is of a queue, or ended under a former owner, in
-// which case its queue is not known.
+// MayHaveJobsOf reports whether any job is of a queue, or may be: the queue of a job that
+// ended under a former owner is not known.
 func (c *Core) MayHaveJobsOf(queue cairnbay.QueuePath) bool {
 	for _, job := range c.jobs {
 		if path := job.workflow.Queue.Path(); path == queue || path == (cairnbay.QueuePath{}) {
--- a/internal/process/sched/reservation.go
+++ b/internal/process/sched/reservation.go
@@ -18,8 +18,8 @@
 	// exceeds the interval between plans, in which a gang renews them.
 	reservationTime = 500 * time.Millisecond
 	// maxReservedWait is how long reservations may keep a long-running step from starting,
-	// and any other one on a class of which less than idleShare has been in use for as long. It is below the
-	// time within which a task must start if there is capacity for it.
+	// and any other one on a class of which less than idleShare has been in use for as
+	// long. It is below the time within which a task must start if there is capacity for it.
 	maxReservedWait = 2 * time.Second
 	idleShare       = 0.5
 )
@@ -124,7 +124,7 @@
 // reservations are concerned: it ends before the gang starts there, or is long-running and
 // fits beside the gang, or the stage has waited for long enough. Work that ends later than
 // the gang starts may not start beside it: the gang would find fewer workers if another one
-// becomes free first.
+// becomes free first. If a reservation blocks the worker, that is noted on the stage.
 func (c *Core) mayUseReserved(now Moment, stage *stage, w *worker, reservations gangReservations) bool {
 	reservation, reserved := reservations[w.entry.ID]
 	if !reserved || reservation.stage == stage {
--- a/internal/request/gate/gate.go
+++ b/internal/request/gate/gate.go
@@ -82,7 +82,8 @@
 	// store did not answer, in nanoseconds since the epoch; 0 for never.
 	storeStalledAt atomic.Int64
 	// keys is the key index of the configuration in force.
-	keys   keyring
+	keys keyring
+	// former tells which owners of other classes may have jobs of a queue.
 	former formerClasses
 	// unauthorised reports the calls refused because of their key.
 	unauthorised *refusalLog
