sched, drive: report steps that wait for the policy service, and why starts are refused

What could not be told from logs: whether a step has no permitted worker left, waits for a call, or has room and no ticket; and whether a ticket was refused because the answer or the start was late.

- A step of which nothing has run for 2 s is logged with the reason, the workers evaluated and allowed, valid and refused tickets, and the time since the last call, again each time the wait has doubled; a gauge counts them by reason.
- A start refused for its ticket says how old the ticket was and how long the call took; calls say how long they should take.
- Failed starts are counted by reason.

No decision changes.

--- a/internal/process/drive/drive.go
+++ b/internal/process/drive/drive.go
@@ -437,7 +437,8 @@
 	d.mu.Lock()
 	d.core.SetAdviceLimits(short, long)
 	d.core.SetStartLimit(d.pacer.free())
-	if d.tickDue.Swap(false) {
+	ticked := d.tickDue.Swap(false)
+	if ticked {
 		d.core.Tick()
 	}
 	now := d.now()
@@ -449,6 +450,9 @@
 		actions = d.core.Plan(now)
 		d.logRelocations()
 		d.logGangWaits()
+		if ticked {
+			d.logAdviceWaits()
+		}
 	}
 	d.countStarts(actions)
 	d.observeHeldStarts(now.BootTime)
--- a/internal/process/drive/meters.go
+++ b/internal/process/drive/meters.go
@@ -1,6 +1,7 @@
 package drive
 
 import (
+	"errors"
 	"fmt"
 	"strings"
 	"time"
@@ -90,10 +91,39 @@
 	m.startWait.Update(waited.Seconds())
 	if err != nil {
 		result = "failed"
+		m.counter("cairnbay_starts_refused_total", fmt.Sprintf(",reason=%q", refusalReason(err))).Inc()
 	}
 	m.counter("cairnbay_attempts_ordered_total", fmt.Sprintf(",result=%q", result)).Inc()
 }
 
+// refusalReason names why a start failed.
+func refusalReason(err error) string {
+	switch {
+	case errors.Is(err, cairnbay.ErrUnknown):
+		return "no_answer"
+	case errors.Is(err, cairnbay.ErrInvalidTicket):
+		return "ticket"
+	case errors.Is(err, cairnbay.ErrNoRoom):
+		return "no_room"
+	case errors.Is(err, cairnbay.ErrFenced), errors.Is(err, cairnbay.ErrReplaced):
+		return "replaced"
+	case errors.Is(err, cairnbay.ErrOverloaded), errors.Is(err, cairnbay.ErrUnavailable):
+		return "not_sent"
+	default:
+		return "other"
+	}
+}
+
+// stepsWaiting reports the steps that wait for the policy service.
+func (m meters) stepsWaiting(byReason map[sched.AdviceWaitReason]int) {
+	for _, reason := range []sched.AdviceWaitReason{
+		sched.AdviceWaitAnswer, sched.AdviceWaitLimit, sched.AdviceWaitWorkers, sched.AdviceWaitRoom, sched.AdviceWaitTicket,
+	} {
+		name := fmt.Sprintf("cairnbay_steps_waiting_for_policy{shard=%q,reason=%q}", m.shard, reason)
+		m.set.GetOrCreateGauge(name, nil).Set(float64(byReason[reason]))
+	}
+}
+
 func (m meters) submitted(verdict Verdict) {
 	// The detail of a reason names a workspace, which would make a series for each.
 	reason, _, _ := strings.Cut(verdict.Reason, reasonSeparator)
--- a/internal/process/drive/orders.go
+++ b/internal/process/drive/orders.go
@@ -85,7 +85,7 @@
 	if !ok {
 		// Nothing was sent, so the order has certainly had no effect.
 		d.startSettled(0)
-		d.handleStarted(action, cairnbay.ErrOverloaded)
+		d.handleStarted(action, 0, cairnbay.ErrOverloaded)
 		return
 	}
 	order := cairnbay.AgentStart{
@@ -119,7 +119,7 @@
 			"job": action.Task.Job, "task": taskIndexes(action.Task), "attempt": action.Attempt, "worker": action.Target.Worker,
 		}).Info("start repeated")
 	}
-	d.handleStarted(action, err)
+	d.handleStarted(action, sending.sent, err)
 }
 
 const (
@@ -188,14 +188,21 @@
 		d.core.IsOrdered(action)
 }
 
-// handleStarted logs the result of a start and passes it to the core.
-func (d *Drive) handleStarted(action *sched.StartAction, err error) {
+// handleStarted logs the result of a start and passes it to the core. sent is when the start
+// was first sent, 0 for never.
+func (d *Drive) handleStarted(action *sched.StartAction, sent time.Duration, err error) {
 	d.meters.startFinished(action.Waited, err)
 	log := d.config.Log.WithFields(logrus.Fields{
 		"job": action.Task.Job, "task": taskIndexes(action.Task), "attempt": action.Attempt,
 		"worker": action.Target.Worker, "waited_ms": action.Waited.Milliseconds(),
 		"resumed": action.Checkpoint != "", "trial": action.Trial, "copy": action.Copy,
 	})
+	if errors.Is(err, cairnbay.ErrInvalidTicket) {
+		log = log.WithFields(logrus.Fields{
+			"ticket_age_ms":  (sent - action.TicketArrivedAt).Milliseconds(),
+			"ticket_call_ms": (action.TicketArrivedAt - action.TicketCalledAt).Milliseconds(),
+		})
+	}
 	if err != nil {
 		log.WithError(err).Warn("start failed")
 	} else {
@@ -284,6 +291,7 @@
 	log := d.config.Log.WithFields(logrus.Fields{
 		"job": action.Step.Job, "task": taskIndexes(action.Step), "workers": len(action.Workers),
 		"allowed": len(tickets), "took_ms": (d.config.BootTime() - calledAt).Milliseconds(),
+		"expected_ms": action.ExpectedDuration.Milliseconds(),
 	})
 	if err != nil {
 		log.WithError(err).Warn("policy service failed")
--- a/internal/process/drive/gangwait.go
+++ b/internal/process/drive/waits.go
@@ -9,6 +9,20 @@
 // wideGangMembers is the number of members from which metrics count a gang as wide.
 const wideGangMembers = 8
 
+// logAdviceWaits logs the steps that have waited for long for the policy service; the caller
+// holds the lock.
+func (d *Drive) logAdviceWaits() {
+	for _, wait := range d.core.TakeAdviceWaits() {
+		d.config.Log.WithFields(logrus.Fields{
+			"job": wait.Step.Job, "occurrence": wait.Step.Occurrence, "step": wait.Step.Step, "queue": wait.Queue,
+			"reason": wait.Reason, "waited_ms": wait.Waited.Milliseconds(), "evaluated": wait.Evaluated,
+			"allowed": wait.Permitted, "valid_tickets": wait.Valid, "refused_tickets": wait.Refusals,
+			"since_call_ms": wait.SinceCall.Milliseconds(),
+		}).Warn("step waits for the policy service")
+	}
+	d.meters.stepsWaiting(d.core.WaitingSteps())
+}
+
 // logGangWaits logs the gangs that have started, have become late or have ended without a
 // start; the caller holds the lock.
 func (d *Drive) logGangWaits() {
--- a/internal/process/sched/advice.go
+++ b/internal/process/sched/advice.go
@@ -19,11 +19,17 @@
 	evaluated map[string]bool
 	// tickets holds the tickets of the allowed workers, by worker ID.
 	tickets map[string]ticket
+	// refusals counts the starts that were refused for their ticket.
+	refusals int
+	// wait is the time without any start.
+	wait adviceWait
 }
 
 type ticket struct {
-	value     string
-	expiresAt time.Duration
+	value string
+	// calledAt is when the service was called for the ticket, arrivedAt when it answered.
+	calledAt, arrivedAt time.Duration
+	expiresAt           time.Duration
 }
 
 const (
@@ -278,7 +284,9 @@
 			advice.evaluated[worker] = true
 		}
 		for _, granted := range tickets {
-			advice.tickets[granted.Worker] = ticket{granted.Ticket, now.BootTime + valid}
+			advice.tickets[granted.Worker] = ticket{
+				value: granted.Ticket, calledAt: advice.requestedAt, arrivedAt: now.BootTime, expiresAt: now.BootTime + valid,
+			}
 		}
 	}
 	return c.startReserved(now, stage)
--- a/internal/process/sched/plan.go
+++ b/internal/process/sched/plan.go
@@ -23,6 +23,9 @@
 	Payload    string
 	Checkpoint string
 	Ticket     string
+	// TicketCalledAt is when the policy service was called for the ticket, TicketArrivedAt
+	// when it answered, in boot time; 0 without a ticket.
+	TicketCalledAt, TicketArrivedAt time.Duration
 	// Waited is the time from the job's acceptance by this owner to the start.
 	Waited time.Duration
 	// Trial is set for a suspect of a crash, see beginTrial.
@@ -92,6 +95,7 @@
 	actions = append(actions, c.planStragglers(now)...)
 	if c.ticked {
 		c.ticked = false
+		c.updateAdviceWaits(now)
 		actions = append(actions, c.planEarlyAdvice(now)...)
 	}
 	return actions
@@ -348,13 +352,14 @@
 		attempt.phase = phaseStarting
 		attempt.phaseSince, attempt.orderedAt = now.BootTime, now.BootTime
 		attempt.partial = attempt.task.checkpoint != ""
-		ticket := ""
+		var granted ticket
 		if stage.advice != nil {
-			ticket = stage.advice.tickets[attempt.worker.entry.ID].value
+			granted = stage.advice.tickets[attempt.worker.entry.ID]
 		}
 		actions = append(actions, Action{Start: &StartAction{
 			Target: attempt.worker.target(), Task: attempt.ref, Attempt: attempt.number,
-			Payload: stage.job.workflow.Payload, Checkpoint: attempt.task.checkpoint, Ticket: ticket,
+			Payload: stage.job.workflow.Payload, Checkpoint: attempt.task.checkpoint,
+			Ticket: granted.value, TicketCalledAt: granted.calledAt, TicketArrivedAt: granted.arrivedAt,
 			Waited: now.BootTime - stage.job.acceptedAt, Trial: attempt.trialWeight > 0,
 			UsualWorker: attempt.task.usualWorker,
 			Copy:        attempt == attempt.task.copy,
--- a/internal/process/sched/result.go
+++ b/internal/process/sched/result.go
@@ -69,6 +69,7 @@
 		a.phase = phaseUncertain
 		a.phaseSince = now.BootTime
 	case errors.Is(err, cairnbay.ErrInvalidTicket):
+		a.stage.advice.refusals++
 		delete(a.stage.advice.tickets, action.Target.Worker)
 		c.undoStart(now, a)
 	case errors.Is(err, cairnbay.ErrStaleAttempt), errors.Is(err, cairnbay.ErrStartExpired):
@@ -88,6 +89,9 @@
 func (c *Core) markRunning(now Moment, a *attempt) {
 	if a.stage != nil {
 		a.stage.job.started = true
+		if a.stage.advice != nil {
+			a.stage.advice.wait = adviceWait{}
+		}
 	}
 	a.phase = phaseRunning
 	a.phaseSince = now.BootTime
--- a/internal/process/sched/sched.go
+++ b/internal/process/sched/sched.go
@@ -99,6 +99,10 @@
 	relocations []Relocation
 	// gangWaits are the reports since the last TakeGangWaits.
 	gangWaits []GangWait
+	// adviceWaits are the reports since the last TakeAdviceWaits, waitingSteps the result of
+	// WaitingSteps.
+	adviceWaits  []AdviceWait
+	waitingSteps map[AdviceWaitReason]int
 	// disturbedWorkers and silentWorkers are counted at each tick. plannedAt is the boot
 	// time of the last plan, reservations are those of its gangs.
 	disturbedWorkers, silentWorkers int
@@ -136,6 +140,7 @@
 		ledger:        quota.New(),
 		fairness:      newFairness(),
 		slow:          make(map[*attempt]struct{}),
+		waitingSteps:  make(map[AdviceWaitReason]int),
 	}
 }
 
