--- a/internal/fake/agent/agent.go
+++ b/internal/fake/agent/agent.go
@@ -40,6 +40,9 @@
 	// that does not; nil for none. ResumeTime is how long a resumed one makes none.
 	Saves      func(task cairnbay.WorkflowTask) time.Duration
 	ResumeTime time.Duration
+	// Admit checks the ticket of a start on a run of a worker's process, by its ID; nil
+	// accepts any.
+	Admit func(worker string, order cairnbay.AgentStart) error
 	// Crash says which tasks crash their workers.
 	Crash CrashPlan
 	// Incarnations says that the workers tell the start of their process, and have the
@@ -360,6 +363,11 @@
 	if order.Attempt <= w.highest[order.Task] {
 		return cairnbay.ErrStaleAttempt
 	}
+	if f.config.Admit != nil {
+		if err := f.config.Admit(w.id, order); err != nil {
+			return err
+		}
+	}
 	f.judge(w, target, order)
 	replaced := w.running[order.Task].gang
 	one := run{attempt: order.Attempt, started: now, gang: f.join(target.Worker, w, order, now)}
--- a/internal/process/sched/simulation_test.go
+++ b/internal/process/sched/simulation_test.go
@@ -16,6 +16,7 @@
 	. "github.com/onsi/gomega"
 
 	"cairnbay"
+	"cairnbay/internal/fake/advice"
 	"cairnbay/internal/fake/agent"
 	"cairnbay/internal/process/sched"
 )
@@ -51,6 +52,10 @@
 	// service becomes free for short and for long calls. Without lanes, calls
 	// run in parallel.
 	shortFree, longFree []time.Duration
+	// policy issues the tickets, which workers check; nil for tickets that are always valid.
+	policy *advice.Service
+	// transit is how long an answer of the policy service is under way; nil for none.
+	transit func() time.Duration
 	// allow reports whether the policy allows a worker; nil allows all.
 	allow func(step cairnbay.WorkflowTask, worker string) bool
 	// submitted and completed are the times of a job's first submission and of
@@ -107,8 +112,12 @@
 }
 
 type adviceCall struct {
-	answerAt time.Duration
-	action   *sched.AdviseAction
+	// issueAt is when the service decides, answerAt when its answer arrives.
+	issueAt, answerAt time.Duration
+	calledAt          time.Duration
+	action            *sched.AdviseAction
+	tickets           []cairnbay.Ticket
+	issued            bool
 }
 
 func newSimulation(config sched.Config) *simulation {
@@ -156,6 +165,12 @@
 			return 0
 		},
 		GangTime: gangTime,
+		Admit: func(worker string, order cairnbay.AgentStart) error {
+			if sim.policy == nil {
+				return nil
+			}
+			return sim.policy.Check(worker, order)
+		},
 		Crash: agent.CrashPlan{
 			Deadly: func(task cairnbay.WorkflowTask) bool { return sim.deadly != nil && sim.deadly(task) },
 			After:  func() time.Duration { return sim.crashAfter }, Downtime: crashDowntime,
@@ -244,7 +259,7 @@
 			}
 			clock, err := sim.fleet.Start(ctx, action.Start.Target, cairnbay.AgentStart{
 				Task: action.Start.Task, Attempt: action.Start.Attempt, LeaseEnd: sim.now + lease, Token: token,
-				Checkpoint: action.Start.Checkpoint,
+				Checkpoint: action.Start.Checkpoint, Ticket: action.Start.Ticket,
 			})
 			sim.core.HandleAnswer(action.Start.Target.Worker, clock)
 			sim.core.HandleStart(sim.moment(), action.Start, err)
@@ -256,7 +271,13 @@
 			}
 			sim.pendingStops = append(sim.pendingStops, pendingStop{sim.now + sim.stopTime, action.Stop})
 		case action.Advise != nil:
-			sim.adviceCalls = append(sim.adviceCalls, adviceCall{sim.scheduleCall(action.Advise.ExpectedDuration), action.Advise})
+			call := adviceCall{calledAt: sim.now, action: action.Advise}
+			call.issueAt = sim.scheduleCall(action.Advise.ExpectedDuration)
+			call.answerAt = call.issueAt
+			if sim.transit != nil {
+				call.answerAt += sim.transit()
+			}
+			sim.adviceCalls = append(sim.adviceCalls, call)
 		}
 	}
 }
@@ -362,21 +383,33 @@
 func (sim *simulation) answerCalls() {
 	var unanswered []adviceCall
 	for _, call := range sim.adviceCalls {
+		if call.issueAt <= sim.now && !call.issued {
+			call.tickets, call.issued = sim.issue(call.action), true
+		}
 		if call.answerAt > sim.now {
 			unanswered = append(unanswered, call)
 			continue
 		}
-		var tickets []cairnbay.Ticket
-		for _, id := range call.action.Workers {
-			if sim.allow == nil || sim.allow(call.action.Step, id) {
-				tickets = append(tickets, cairnbay.Ticket{Worker: id, Ticket: "t"})
-			}
-		}
-		sim.execute(sim.core.HandleAdvice(sim.moment(), call.action.Step, call.action.Workers, tickets, nil))
+		sim.execute(sim.core.HandleAdvice(sim.moment(), call.action.Step, call.action.Workers, call.tickets, nil))
 	}
 	sim.adviceCalls = unanswered
 }
 
+// issue returns the tickets of the workers that the policy allows.
+func (sim *simulation) issue(action *sched.AdviseAction) (tickets []cairnbay.Ticket) {
+	var allowed []string
+	for _, id := range action.Workers {
+		if sim.allow == nil || sim.allow(action.Step, id) {
+			allowed = append(allowed, id)
+			tickets = append(tickets, cairnbay.Ticket{Worker: id, Ticket: "t"})
+		}
+	}
+	if sim.policy != nil {
+		return sim.policy.Issue(action.Step, allowed)
+	}
+	return tickets
+}
+
 func (sim *simulation) recordCompletions() {
 	for id := range sim.submitted {
 		if _, ok := sim.completed[id]; !ok && sim.core.State(id) == cairnbay.WorkflowCompleted {
