sched: pause between calls to the policy service that fail or bring refused tickets

A step whose tickets are refused, or whose calls fail at once, was asked about again without a pause, and the service does not abort a call.

Change: the first failed call is repeated at once, the second after 0.1 s, then with doubled pauses up to 0.8 s, until a start of the step succeeds.

--- a/internal/process/sched/advice.go
+++ b/internal/process/sched/advice.go
@@ -22,6 +22,12 @@
 	tickets map[string]ticket
 	// refusals counts the starts that were refused for their ticket.
 	refusals int
+	// failures counts the calls since the last start that failed or whose tickets were
+	// refused, and retryAt is the earliest time of the next call. failed is set once the
+	// last call is counted.
+	failures int
+	failed   bool
+	retryAt  time.Duration
 	// wait is the time without any start.
 	wait adviceWait
 }
@@ -53,6 +59,12 @@
 	// beyond the duration of the call. It is well below the validity of a
 	// ticket, which must last until the start.
 	adviceLead = 500 * time.Millisecond
+	// maxAdviceBackoff bounds the pause before the next call for a step whose calls fail, or
+	// whose tickets are refused, one after the other. The first of them is repeated at once
+	// and the second after minAdviceBackoff; the pause then doubles.
+	maxAdviceBackoff = 800 * time.Millisecond
+	minAdviceBackoff    = 100 * time.Millisecond
+	maxBackoffDoublings = 10
 	// adviceRetryPause is the minimum interval between the calls for a step
 	// while no allowed worker has capacity.
 	adviceRetryPause = 500 * time.Millisecond
@@ -86,9 +98,13 @@
 	c.callLimit = callCounts{max(short, 1) * shortCallsPerLane, max(long, 1)}
 }
 
-// mayCallPolicy reports whether the limit allows another call for the stage.
-func (c *Core) mayCallPolicy(stage *stage) bool {
+// mayCallPolicy reports whether the limit and the step's backoff allow another call for the
+// stage.
+func (c *Core) mayCallPolicy(now Moment, stage *stage) bool {
 	terms := stage.job.workflow.Queue.Advice
+	if stage.advice != nil && now.BootTime < stage.advice.retryAt {
+		return false
+	}
 	return *c.inFlight.forDuration(terms.Decide) < *c.callLimit.forDuration(terms.Decide)
 }
 
@@ -112,7 +128,7 @@
 // is reserved during the call, or else decisions on workers that are not
 // evaluated yet.
 func (c *Core) planAdvice(now Moment, stage *stage, reservations gangReservations) []Action {
-	if !c.mayCallPolicy(stage) {
+	if !c.mayCallPolicy(now, stage) {
 		c.noteGangWait(now, stage, GangWaitPolicy)
 		return nil
 	}
@@ -183,7 +199,7 @@
 	slices.SortFunc(soon, comparePrecedence)
 	for _, entry := range soon {
 		stage := entry.stage
-		if c.mayCallPolicy(stage) && !c.heldWhenReady(now, stage) {
+		if c.mayCallPolicy(now, stage) && !c.heldWhenReady(now, stage) {
 			stage.advice = newAdvice()
 			actions = append(actions, c.planAdvice(now, stage, nil)...)
 		}
@@ -257,7 +273,7 @@
 
 func (c *Core) callPolicy(now Moment, stage *stage, workers []string) []Action {
 	terms := stage.job.workflow.Queue.Advice
-	stage.advice.inFlight = true
+	stage.advice.inFlight, stage.advice.failed = true, false
 	stage.advice.requestedAt = now.BootTime
 	*c.inFlight.forDuration(terms.Decide)++
 	c.adviceCalls[stage.ref(0)] = stage
@@ -279,7 +295,9 @@
 	advice := stage.advice
 	advice.inFlight = false
 	c.changeCount++
-	if err == nil {
+	if err != nil {
+		advice.noteFailure(now)
+	} else {
 		valid := stage.job.workflow.Queue.Advice.Valid
 		for _, worker := range evaluated {
 			advice.evaluated[worker] = true
@@ -324,6 +342,23 @@
 	return c.startPlaced(now, stage, ready)
 }
 
+// noteFailure counts the last call as a failed one, once, and delays the next one.
+func (a *advice) noteFailure(now Moment) {
+	if a.failed {
+		return
+	}
+	a.failed = true
+	a.failures++
+	if a.failures > 1 {
+		a.retryAt = now.BootTime + min(minAdviceBackoff<<min(a.failures-2, maxBackoffDoublings), maxAdviceBackoff)
+	}
+}
+
+// noteStart ends the backoff of a step of which a start has succeeded.
+func (a *advice) noteStart() {
+	a.failures, a.retryAt, a.wait = 0, 0, adviceWait{}
+}
+
 // handleRefusedTicket ends the validity of a ticket that its worker refused. A newer one that
 // has arrived since the start was ordered remains valid.
 func (c *Core) handleRefusedTicket(now Moment, a *attempt, action *StartAction) {
@@ -334,6 +369,7 @@
 		return
 	}
 	advice.refusals++
+	advice.noteFailure(now)
 	if granted, ok := advice.tickets[action.Target.Worker]; ok && granted.value == action.Ticket {
 		granted.expiresAt = now.BootTime
 		advice.tickets[action.Target.Worker] = granted
--- a/internal/process/sched/advicewait.go
+++ b/internal/process/sched/advicewait.go
@@ -13,7 +13,8 @@
 const (
 	// AdviceWaitAnswer is a call to the policy service in flight.
 	AdviceWaitAnswer AdviceWaitReason = "call_in_flight"
-	// AdviceWaitLimit is the limit of calls to the policy service.
+	// AdviceWaitLimit is the limit of calls to the policy service, or the pause after calls
+	// that failed or whose tickets were refused.
 	AdviceWaitLimit AdviceWaitReason = "policy_busy"
 	// AdviceWaitWorkers is a lack of workers that the policy service permits, whatever runs
 	// on them.
@@ -98,7 +99,7 @@
 		return AdviceWaitWorkers
 	case c.fittingNow(now, stage, unit, false) < unit:
 		return AdviceWaitRoom
-	case !c.mayCallPolicy(stage):
+	case !c.mayCallPolicy(now, stage):
 		return AdviceWaitLimit
 	default:
 		return AdviceWaitTicket
--- a/internal/process/sched/drain.go
+++ b/internal/process/sched/drain.go
@@ -62,7 +62,7 @@
 		c.stop(a, CauseDrained)
 		return nil
 	}
-	if !c.mayCallPolicy(stage) || advice.requestedAt > 0 && now.BootTime-advice.requestedAt < adviceRetryPause {
+	if !c.mayCallPolicy(now, stage) || advice.requestedAt > 0 && now.BootTime-advice.requestedAt < adviceRetryPause {
 		return nil
 	}
 	workers := workersWithCapacity(advice.allowed)
--- a/internal/process/sched/gangwait.go
+++ b/internal/process/sched/gangwait.go
@@ -18,7 +18,8 @@
 	GangWaitDecision GangWaitReason = "policy_decision"
 	// GangWaitTicket is a call for tickets of the workers on which the gang can start.
 	GangWaitTicket GangWaitReason = "tickets"
-	// GangWaitPolicy is the limit of calls to the policy service.
+	// GangWaitPolicy is the limit of calls to the policy service, or the pause after calls
+	// that failed or whose tickets were refused.
 	GangWaitPolicy GangWaitReason = "policy_busy"
 	// GangWaitCapacity is the work that still runs on the workers reserved for the gang.
 	GangWaitCapacity GangWaitReason = "reserved_capacity"
--- a/internal/process/sched/result.go
+++ b/internal/process/sched/result.go
@@ -89,7 +89,7 @@
 	if a.stage != nil {
 		a.stage.job.started = true
 		if a.stage.advice != nil {
-			a.stage.advice.wait = adviceWait{}
+			a.stage.advice.noteStart()
 		}
 	}
 	a.phase = phaseRunning
--- a/internal/process/sched/simulation_test.go
+++ b/internal/process/sched/simulation_test.go
@@ -56,6 +56,10 @@
 	policy *advice.Service
 	// transit is how long an answer of the policy service is under way; nil for none.
 	transit func() time.Duration
+	// adviceFails is the error of each call to the policy service, if it is set, and
+	// adviceCount counts the calls.
+	adviceFails error
+	adviceCount int
 	// allow reports whether the policy allows a worker; nil allows all.
 	allow func(step cairnbay.WorkflowTask, worker string) bool
 	// submitted and completed are the times of a job's first submission and of
@@ -271,6 +275,7 @@
 			}
 			sim.pendingStops = append(sim.pendingStops, pendingStop{sim.now + sim.stopTime, action.Stop})
 		case action.Advise != nil:
+			sim.adviceCount++
 			call := adviceCall{calledAt: sim.now, action: action.Advise}
 			call.issueAt = sim.scheduleCall(action.Advise.ExpectedDuration)
 			call.answerAt = call.issueAt
@@ -390,7 +395,7 @@
 			unanswered = append(unanswered, call)
 			continue
 		}
-		sim.execute(sim.core.HandleAdvice(sim.moment(), call.action.Step, call.action.Workers, call.tickets, nil))
+		sim.execute(sim.core.HandleAdvice(sim.moment(), call.action.Step, call.action.Workers, call.tickets, sim.adviceFails))
 	}
 	sim.adviceCalls = unanswered
 }
--- a/internal/process/sched/straggler.go
+++ b/internal/process/sched/straggler.go
@@ -299,7 +299,7 @@
 	if target := c.chooseWorker(now, stage, task, idle(func(id string) bool { return advice.valid(id, startsAt) })); target != nil {
 		return target, nil
 	}
-	if !c.mayCallPolicy(stage) || advice.requestedAt > 0 && now.BootTime-advice.requestedAt < adviceRetryPause {
+	if !c.mayCallPolicy(now, stage) || advice.requestedAt > 0 && now.BootTime-advice.requestedAt < adviceRetryPause {
 		return nil, nil
 	}
 	workers := idle(advice.allowed)
--- a/internal/process/sched/ticket_test.go
+++ b/internal/process/sched/ticket_test.go
@@ -57,6 +57,24 @@
 		Entry("of a gang", func(job *cairnbay.Workflow) { job.Steps[0].Gang = true }),
 	)
 
+	// Guards against calls without a pause, which the service does not abort.
+	DescribeTable("are asked about with growing pauses",
+		func(failure error) {
+			sim.policy = advice.New(advice.Config{Now: func() time.Duration { return sim.now }})
+			job := singleStep("j", meshes, 2, cores(4, 1000), 2*time.Second)
+			job.Queue.Advice = &ticketTerms
+			sim.submit(job, false, 2*time.Second)
+			sim.advance(100 * time.Millisecond)
+			sim.adviceFails = failure
+			sim.advance(10 * time.Second)
+			Expect(sim.fleet.Starts()).To(BeZero())
+			Expect(sim.adviceCount).To(BeNumerically(">", 8))
+			Expect(sim.adviceCount).To(BeNumerically("<", 20))
+		},
+		Entry("while workers refuse tickets that are new", nil),
+		Entry("while calls fail", cairnbay.ErrRateLimited),
+	)
+
 	It("are reported with what they wait for", func() {
 		sim.allow = func(cairnbay.WorkflowTask, string) bool { return false }
 		job := singleStep("j", meshes, 1, cores(1, 1000), 2*time.Second)
