sched, drive: count a ticket's age from the call for it

Callers saw: starts refused for their tickets when answers of the policy service were late, and tasks that waited for another call after that.

Cause: the validity of a ticket was counted from the moment at which its answer was handled. The answer may have been in the socket of a stopped process, at the instance that relays the call, or in the owner's queue.

Change: a ticket certainly lasts from the earliest moment of its decision, the call plus its usual duration. One that may have expired on the way is used for 200 ms after its arrival: how long the call waited at the service is not known, and a refused start costs less than another call, whose answer may be as late. A start whose ticket has certainly expired since the plan is not sent.

The check before the order has a spec of the decision only, not of an owner that is paused between plan and order.

--- a/internal/process/drive/orders.go
+++ b/internal/process/drive/orders.go
@@ -33,15 +33,23 @@
 	token          uint64
 }
 
-// prepareStart returns the delivery of a start sent now; false if it may not be sent. An
-// attempt that was counted as lost since the plan may have been started elsewhere.
-func (d *Drive) prepareStart(action *sched.StartAction) (delivery, bool) {
+// prepareStart returns the delivery of a start sent now. An attempt that was counted as lost
+// since the plan may have been started elsewhere. Errors: ErrOverloaded if the start may not
+// be sent, ErrInvalidTicket if its ticket has expired since the plan.
+func (d *Drive) prepareStart(action *sched.StartAction) (delivery, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if !d.core.IsOrdered(action) {
-		return delivery{}, false
+		return delivery{}, cairnbay.ErrOverloaded
 	}
-	return d.prepareOrder(action.Target.Worker)
+	sending, ok := d.prepareOrder(action.Target.Worker)
+	switch {
+	case !ok:
+		return delivery{}, cairnbay.ErrOverloaded
+	case action.TicketExpired(sending.sent):
+		return delivery{}, cairnbay.ErrInvalidTicket
+	}
+	return sending, nil
 }
 
 // prepareStop returns the delivery of a stop sent now; false if it may not be sent.
@@ -81,18 +89,17 @@
 
 // start orders an attempt, up to maxStartTries times while the outcome is unknown.
 func (d *Drive) start(action *sched.StartAction) {
-	sending, ok := d.prepareStart(action)
-	if !ok {
+	sending, err := d.prepareStart(action)
+	if err != nil {
 		// Nothing was sent, so the order has certainly had no effect.
 		d.startSettled(0)
-		d.handleStarted(action, 0, cairnbay.ErrOverloaded)
+		d.handleStarted(action, d.config.BootTime(), err)
 		return
 	}
 	order := cairnbay.AgentStart{
 		Task: action.Task, Attempt: action.Attempt, Payload: action.Payload,
 		LeaseEnd: sending.leaseEnd, Token: sending.token, Checkpoint: action.Checkpoint, Ticket: action.Ticket,
 	}
-	var err error
 	for try := 1; ; try++ {
 		var clock time.Duration
 		ctx, cancel := context.WithTimeout(d.ctx, time.Duration(try)*startTimeout+d.allowance())
@@ -189,7 +196,7 @@
 }
 
 // handleStarted logs the result of a start and passes it to the core. sent is when the start
-// was first sent, 0 for never.
+// was first sent, or given up without that.
 func (d *Drive) handleStarted(action *sched.StartAction, sent time.Duration, err error) {
 	d.meters.startFinished(action.Waited, err)
 	log := d.config.Log.WithFields(logrus.Fields{
@@ -299,7 +306,7 @@
 		log.Info("policy service answered")
 	}
 	d.mu.Lock()
-	actions := d.core.HandleAdvice(d.now(), action.Step, action.Workers, tickets, err)
+	actions := d.core.HandleAdvice(d.now(), action.Step, calledAt, action.Workers, tickets, err)
 	d.countStarts(actions)
 	d.mu.Unlock()
 	d.execute(actions)
--- a/internal/process/sched/advice.go
+++ b/internal/process/sched/advice.go
@@ -36,13 +36,19 @@
 	value string
 	// calledAt is when the service was called for the ticket, arrivedAt when it answered.
 	calledAt, arrivedAt time.Duration
-	expiresAt           time.Duration
+	// expiresAt is until when the ticket certainly lasts, tryUntil until when it is used
+	// although it may have expired, and endsAt when it has certainly expired.
+	expiresAt, tryUntil, endsAt time.Duration
 }
 
 const (
 	// ticketMargin is the least remaining validity of a ticket in use, so that
 	// the start reaches its worker in time.
 	ticketMargin = 150 * time.Millisecond
+	// lateTicketUse is how long after its arrival a ticket is used that may have expired on
+	// the way. Nobody can tell how long the call waited at the service before its decision,
+	// a refused start costs less than another call, and its answer may be as late.
+	lateTicketUse = 200 * time.Millisecond
 	// maxWorkersPerCall bounds the workers of one call to the policy service.
 	maxWorkersPerCall = 40
 	// maxGangWorkersPerCall is the same for a gang. All its members need allowed
@@ -62,7 +68,7 @@
 	// maxAdviceBackoff bounds the pause before the next call for a step whose calls fail, or
 	// whose tickets are refused, one after the other. The first of them is repeated at once
 	// and the second after minAdviceBackoff; the pause then doubles.
-	maxAdviceBackoff = 800 * time.Millisecond
+	maxAdviceBackoff    = 800 * time.Millisecond
 	minAdviceBackoff    = 100 * time.Millisecond
 	maxBackoffDoublings = 10
 	// adviceRetryPause is the minimum interval between the calls for a step
@@ -112,10 +118,21 @@
 	return &advice{evaluated: make(map[string]bool), tickets: make(map[string]ticket)}
 }
 
-// valid reports whether the worker's ticket lasts for ticketMargin beyond now.
-func (a *advice) valid(worker string, now time.Duration) bool {
+// newTicket returns a ticket that arrives now. The service issued it at the earliest after
+// the usual duration of a call that was sent at calledAt.
+func newTicket(now Moment, value string, calledAt, duration, valid time.Duration) ticket {
+	earliest := min(calledAt+duration, now.BootTime)
+	return ticket{
+		value: value, calledAt: calledAt, arrivedAt: now.BootTime,
+		expiresAt: earliest + valid, tryUntil: now.BootTime + lateTicketUse, endsAt: now.BootTime + valid,
+	}
+}
+
+// valid reports whether the worker's ticket may be used at a time: it lasts for ticketMargin
+// more, or has just arrived.
+func (a *advice) valid(worker string, at time.Duration) bool {
 	granted, ok := a.tickets[worker]
-	return ok && granted.expiresAt > now+ticketMargin
+	return ok && (granted.expiresAt > at+ticketMargin || granted.tryUntil > at)
 }
 
 // allowed reports whether the worker has ever received a ticket.
@@ -279,13 +296,16 @@
 	c.adviceCalls[stage.ref(0)] = stage
 	return []Action{{Advise: &AdviseAction{
 		Step: stage.ref(0), Workers: workers,
-		ExpectedDuration: terms.Decide + time.Duration(len(workers))*terms.PerWorker,
+		ExpectedDuration: terms.CallDuration(len(workers)),
 	}}}
 }
 
 // HandleAdvice processes the policy service's decision on some workers of a
-// step, or the failure of the call. It returns the starts that waited for it.
-func (c *Core) HandleAdvice(now Moment, step cairnbay.WorkflowTask, evaluated []string, tickets []cairnbay.Ticket, err error) []Action {
+// step, or the failure of the call, which was sent at the boot time calledAt. It returns the
+// starts that waited for it.
+func (c *Core) HandleAdvice(
+	now Moment, step cairnbay.WorkflowTask, calledAt time.Duration, evaluated []string, tickets []cairnbay.Ticket, err error,
+) []Action {
 	stage := c.adviceCalls[step]
 	if stage == nil {
 		return nil
@@ -298,14 +318,12 @@
 	if err != nil {
 		advice.noteFailure(now)
 	} else {
-		valid := stage.job.workflow.Queue.Advice.Valid
+		terms := stage.job.workflow.Queue.Advice
 		for _, worker := range evaluated {
 			advice.evaluated[worker] = true
 		}
 		for _, granted := range tickets {
-			advice.tickets[granted.Worker] = ticket{
-				value: granted.Ticket, calledAt: advice.requestedAt, arrivedAt: now.BootTime, expiresAt: now.BootTime + valid,
-			}
+			advice.tickets[granted.Worker] = newTicket(now, granted.Ticket, calledAt, terms.CallDuration(len(evaluated)), terms.Valid)
 		}
 	}
 	return c.startReserved(now, stage)
@@ -371,7 +389,7 @@
 	advice.refusals++
 	advice.noteFailure(now)
 	if granted, ok := advice.tickets[action.Target.Worker]; ok && granted.value == action.Ticket {
-		granted.expiresAt = now.BootTime
+		granted.expiresAt, granted.tryUntil = now.BootTime, now.BootTime
 		advice.tickets[action.Target.Worker] = granted
 	}
 }
--- a/internal/process/sched/plan.go
+++ b/internal/process/sched/plan.go
@@ -24,8 +24,9 @@
 	Checkpoint string
 	Ticket     string
 	// TicketCalledAt is when the policy service was called for the ticket, TicketArrivedAt
-	// when it answered, in boot time; 0 without a ticket.
-	TicketCalledAt, TicketArrivedAt time.Duration
+	// when it answered, and TicketEndsAt is when it has certainly expired, in boot time; 0
+	// without a ticket.
+	TicketCalledAt, TicketArrivedAt, TicketEndsAt time.Duration
 	// Waited is the time from the job's acceptance by this owner to the start.
 	Waited time.Duration
 	// Trial is set for a suspect of a crash, see beginTrial.
@@ -359,7 +360,7 @@
 		actions = append(actions, Action{Start: &StartAction{
 			Target: attempt.worker.target(), Task: attempt.ref, Attempt: attempt.number,
 			Payload: stage.job.workflow.Payload, Checkpoint: attempt.task.checkpoint,
-			Ticket: granted.value, TicketCalledAt: granted.calledAt, TicketArrivedAt: granted.arrivedAt,
+			Ticket: granted.value, TicketCalledAt: granted.calledAt, TicketArrivedAt: granted.arrivedAt, TicketEndsAt: granted.endsAt,
 			Waited: now.BootTime - stage.job.acceptedAt, Trial: attempt.trialWeight > 0,
 			UsualWorker: attempt.task.usualWorker,
 			Copy:        attempt == attempt.task.copy,
--- a/internal/process/sched/quota_test.go
+++ b/internal/process/sched/quota_test.go
@@ -106,7 +106,7 @@
 		ticket := []cairnbay.Ticket{{Worker: "w", Ticket: "t"}}
 		step := task("j", 0)
 		Expect(core.Plan(now)).To(HaveLen(1))
-		core.HandleAdvice(now, step, []string{"w"}, ticket, nil)
+		core.HandleAdvice(now, step, now.BootTime, []string{"w"}, ticket, nil)
 		// The ticket has lapsed, so that the capacity is reserved during the next call.
 		now.BootTime += time.Second
 		core.Tick()
@@ -114,7 +114,7 @@
 		Expect(core.QuotaUse("a")).To(Equal(cores(4, 400)))
 		core.SetWorkspaces(terms(cores(3, 0), cores(3, 0)))
 		queue.Advice.Valid = time.Minute
-		started, _, _ := starts(core.HandleAdvice(now, step, []string{"w"}, ticket, nil))
+		started, _, _ := starts(core.HandleAdvice(now, step, now.BootTime, []string{"w"}, ticket, nil))
 		Expect(started).To(Equal(3))
 	})
 
--- a/internal/process/sched/result.go
+++ b/internal/process/sched/result.go
@@ -53,6 +53,11 @@
 	return c.findAttempt(action.Target.Worker, action.Task, action.Attempt) != nil
 }
 
+// TicketExpired reports whether the ticket of a start has certainly expired at a boot time.
+func (s *StartAction) TicketExpired(at time.Duration) bool {
+	return s.Ticket != "" && at >= s.TicketEndsAt
+}
+
 // HandleStart processes the answer to a start. An attempt becomes uncertain
 // after an error that does not exclude that it runs, including ErrFenced and
 // ErrReplaced; a lost worker is reported by HandleWorkerLoss. The answer for an attempt
--- a/internal/process/sched/simulation_test.go
+++ b/internal/process/sched/simulation_test.go
@@ -395,7 +395,7 @@
 			unanswered = append(unanswered, call)
 			continue
 		}
-		sim.execute(sim.core.HandleAdvice(sim.moment(), call.action.Step, call.action.Workers, call.tickets, sim.adviceFails))
+		sim.execute(sim.core.HandleAdvice(sim.moment(), call.action.Step, call.calledAt, call.action.Workers, call.tickets, sim.adviceFails))
 	}
 	sim.adviceCalls = unanswered
 }
--- a/workflow.go
+++ b/workflow.go
@@ -116,6 +116,11 @@
 	Valid     time.Duration
 }
 
+// CallDuration is how long a call about some workers takes by the terms.
+func (t *AdviceTerms) CallDuration(workers int) time.Duration {
+	return t.Decide + time.Duration(workers)*t.PerWorker
+}
+
 // Routing is one version of the operators' configuration for workflows: the queues
 // that accept them and the worker classes.
 type Routing struct {
