--- a/internal/process/drive/export_test.go
+++ b/internal/process/drive/export_test.go
@@ -31,3 +31,6 @@
 	d.execute(actions)
 	return worker
 }
+
+// TicketsByID is ticketsByID.
+var TicketsByID = ticketsByID
--- a/internal/process/drive/orders.go
+++ b/internal/process/drive/orders.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -275,17 +276,34 @@
 // callAdvisor calls the policy service, which knows the workers by their names.
 func (d *Drive) callAdvisor(ctx context.Context, action *sched.AdviseAction) ([]cairnbay.Ticket, error) {
 	named := *action
-	named.Workers = make([]string, len(action.Workers))
-	ids := make(map[string]string, len(action.Workers))
-	for i, id := range action.Workers {
-		named.Workers[i] = cairnbay.WorkerName(id)
-		ids[named.Workers[i]] = id
-	}
+	named.Workers = workerNames(action.Workers)
 	tickets, err := d.config.Advise(ctx, &named)
-	for i := range tickets {
-		tickets[i].Worker = ids[tickets[i].Worker]
+	return ticketsByID(tickets, action.Workers), err
+}
+
+// workerNames returns the names of workers, each once.
+func workerNames(ids []string) []string {
+	names := make([]string, 0, len(ids))
+	for _, id := range ids {
+		if name := cairnbay.WorkerName(id); !slices.Contains(names, name) {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// ticketsByID returns the tickets of the workers that were asked about, by their IDs. A ticket
+// goes to all runs of a process with the worker's name: the service does not tell which of
+// them is the current one, and the others refuse it.
+func ticketsByID(tickets []cairnbay.Ticket, asked []string) (byID []cairnbay.Ticket) {
+	for _, granted := range tickets {
+		for _, id := range asked {
+			if cairnbay.WorkerName(id) == granted.Worker {
+				byID = append(byID, cairnbay.Ticket{Worker: id, Ticket: granted.Ticket})
+			}
+		}
 	}
-	return tickets, err
+	return byID
 }
 
 // advise calls the policy service for a step and executes the decisions that
--- a/internal/process/relay/advise.go
+++ b/internal/process/relay/advise.go
@@ -81,7 +81,10 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if err != nil {
-		p.freeAt[name] = time.Now().Add(failureBackoff)
+		// The service does not abort the calls of this pool that may still wait there.
+		if until := time.Now().Add(failureBackoff); until.After(p.freeAt[name]) {
+			p.freeAt[name] = until
+		}
 		return nil, errors.Annotatef(cairnbay.ErrUnavailable, "through %s: %v", name, err)
 	}
 	return tickets, nil
@@ -154,11 +157,13 @@
 	if err != nil {
 		return nil, err
 	}
-	tickets := make([]cairnbay.Ticket, 0, len(response.Msg.GetWorkers()))
-	for i, worker := range response.Msg.GetWorkers() {
-		if i < len(response.Msg.GetTickets()) {
-			tickets = append(tickets, cairnbay.Ticket{Worker: worker, Ticket: response.Msg.GetTickets()[i]})
-		}
+	workers, texts := response.Msg.GetWorkers(), response.Msg.GetTickets()
+	if len(workers) != len(texts) {
+		return nil, errors.Errorf("%d workers with %d tickets", len(workers), len(texts))
+	}
+	tickets := make([]cairnbay.Ticket, 0, len(workers))
+	for i, worker := range workers {
+		tickets = append(tickets, cairnbay.Ticket{Worker: worker, Ticket: texts[i]})
 	}
 	return tickets, nil
 }
--- a/internal/process/relay/relay_test.go
+++ b/internal/process/relay/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"net/http/httptest"
 	"sync"
 	"testing"
@@ -10,8 +11,10 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
 
 	"cairnbay"
+	cairnbayv1 "cairnbay/gen/cairnbay/v1"
 	"cairnbay/internal/process/drive"
 	"cairnbay/internal/process/relay"
 	"cairnbay/internal/process/sched"
@@ -129,6 +132,23 @@
 		Expect(calledInstances()).To(HaveLen(len(first) + 1))
 	})
 
+	// Guards against workers that count as refused because of an incomplete answer.
+	It("fail if the answer has another number of tickets than of workers", func() {
+		peer := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+			answer, err := proto.Marshal(&cairnbayv1.AdviseResponse{Workers: []string{"w", "v"}, Tickets: []string{"t"}})
+			Expect(err).NotTo(HaveOccurred())
+			writer.Header().Set("Content-Type", "application/proto")
+			_, err = writer.Write(answer)
+			Expect(err).NotTo(HaveOccurred())
+		}))
+		DeferCleanup(peer.Close)
+		for name := range peers {
+			peers[name] = peer.Listener.Addr().String()
+		}
+		pool = relay.NewAdvicePool(relay.New(relay.Config{Drive: noDrive, Client: peer.Client()}), "another", func() map[string]string { return peers })
+		Expect(advise(time.Second, relay.Position{Shards: 2})).To(MatchError(ContainSubstring("2 workers with 1 tickets")))
+	})
+
 	It("avoid an instance whose call failed", func() {
 		for _, advisor := range advisors {
 			advisor.fails = true
