sched: ask again about the workers of a step that has too few allowed ones

The service's answer leaves out workers that it does not permit and those that it does not know yet. Both counted as refused for good, so that a step could wait for ever for workers that it may use.

Change: if the allowed workers could not take the step even when empty, the others are asked about again 2 s after the last call, then after 4 s and so on up to 32 s.

Seen by reading only. The spec failed before: one call and no start in 100 s; now 4 to 6 calls in a minute without an allowed worker, and a start once one is.

--- a/internal/process/sched/advice.go
+++ b/internal/process/sched/advice.go
@@ -14,9 +14,11 @@
 	// inFlight is set during a call about the step.
 	inFlight    bool
 	requestedAt time.Duration
-	// evaluated holds the workers on which the service has decided; a decision
-	// never changes.
+	// evaluated holds the workers on which the service has decided. A decision never
+	// changes, but a worker is also left out of an answer if the service does not know it.
 	evaluated map[string]bool
+	// recheckPause is the pause before the next call about workers that were left out.
+	recheckPause time.Duration
 	// tickets holds the latest ticket of each allowed worker, by worker ID, also once it has
 	// expired or was refused: the worker remains allowed.
 	tickets map[string]ticket
@@ -71,6 +73,11 @@
 	maxAdviceBackoff    = 800 * time.Millisecond
 	minAdviceBackoff    = 100 * time.Millisecond
 	maxBackoffDoublings = 10
+	// minRecheckPause is the pause after the last call for a step of which the allowed
+	// workers are too few, before the others are asked about again. It doubles with each
+	// such call up to maxRecheckPause.
+	minRecheckPause = 2 * time.Second
+	maxRecheckPause = 32 * time.Second
 	// adviceRetryPause is the minimum interval between the calls for a step
 	// while no allowed worker has capacity.
 	adviceRetryPause = 500 * time.Millisecond
@@ -115,7 +122,7 @@
 }
 
 func newAdvice() *advice {
-	return &advice{evaluated: make(map[string]bool), tickets: make(map[string]ticket)}
+	return &advice{evaluated: make(map[string]bool), tickets: make(map[string]ticket), recheckPause: minRecheckPause}
 }
 
 // newTicket returns a ticket that arrives now. The service issued it at the earliest after
@@ -160,6 +167,9 @@
 	}
 	notEvaluated := func(w *worker) bool { return !advice.evaluated[w.entry.ID] }
 	unevaluated := c.candidates(now, stage, nil, notEvaluated)
+	if len(unevaluated) == 0 {
+		unevaluated = c.workersToRecheck(now, stage)
+	}
 	if len(unevaluated) == 0 {
 		reserved := c.reserveForGang(now, stage, reservations)
 		afterCall := now.BootTime + stage.job.workflow.Queue.Advice.Decide + c.config.StopTime
@@ -183,6 +193,20 @@
 	return c.callPolicy(now, stage, workers)
 }
 
+// workersToRecheck lists the workers that are not allowed, once the pause is over, if the
+// step cannot start on those that are, even when nothing else runs there.
+func (c *Core) workersToRecheck(now Moment, stage *stage) []*worker {
+	advice, unit := stage.advice, stage.startUnit()
+	if !c.ticked || now.BootTime-advice.requestedAt < advice.recheckPause || c.fittingNow(now, stage, unit, true) >= unit {
+		return nil
+	}
+	denied := c.candidates(now, stage, nil, func(w *worker) bool { return !advice.allowed(w.entry.ID) })
+	if len(denied) > 0 {
+		advice.recheckPause = min(2*advice.recheckPause, maxRecheckPause)
+	}
+	return denied
+}
+
 // sortByFit sorts workers by the number of the stage's tasks that fit, most
 // first. For a stage with little slack, fast workers come first among those on which any
 // fits.
--- a/internal/process/sched/ticket_test.go
+++ b/internal/process/sched/ticket_test.go
@@ -90,6 +90,20 @@
 		Expect(sim.policy.Counts()).To(Equal(advice.Counts{Calls: 2}))
 	})
 
+	// Guards against workers that are excluded for good because the service did not know them.
+	It("are asked about again while no worker is allowed, less and less often", func() {
+		known := false
+		sim.allow = func(cairnbay.WorkflowTask, string) bool { return known }
+		job := singleStep("j", meshes, 2, cores(4, 1000), 2*time.Second)
+		job.Queue.Advice = &ticketTerms
+		sim.submit(job, false, 2*time.Second)
+		sim.advance(60 * time.Second)
+		Expect(sim.policy.Counts().Calls).To(BeNumerically("~", 5, 1))
+		known = true
+		sim.advance(40 * time.Second)
+		Expect(sim.fleet.Starts()).To(Equal(2))
+	})
+
 	It("are reported with what they wait for", func() {
 		sim.allow = func(cairnbay.WorkflowTask, string) bool { return false }
 		job := singleStep("j", meshes, 1, cores(1, 1000), 2*time.Second)
