stand, soak: a policy service whose tickets expire, and workers that check them

What our checks missed: no test with whole instances ever had a ticket refused.

Change: - platform/stand.Advisor serves internal/fake/advice: tickets for one step, one run of a worker's process and a lifetime; one call of an instance at a time, 32 waiting, then 429; answers that are late, truncated or lost, calls refused. Four more faults, and the flag -tickets, with late answers and pauses only. - One check more: in calm no job waits for 3 s beside permitted room for twice what it starts at once. The others are as they were.

--- a/internal/fake/advice/advice.go
+++ b/internal/fake/advice/advice.go
@@ -16,13 +16,25 @@
 	Now func() time.Duration
 	// Valid is how long a ticket is accepted after it was issued.
 	Valid time.Duration
+	// Decide plus PerWorker for each worker named is how long the service takes for a call.
+	Decide, PerWorker time.Duration
 	// Permits says whether a worker may run a step, which never changes; nil for all.
 	Permits func(step cairnbay.WorkflowTask, worker string) bool
-	// Life returns the ID of the current run of a worker's process, by its name; nil for
-	// workers that never restart.
+	// Life returns the ID of the current run of a worker's process, by its name, and an
+	// empty one for a worker that the service does not know; nil for workers that never
+	// restart.
 	Life func(worker string) string
 }
 
+// Faults are what goes wrong with calls. The zero value is no fault.
+type Faults struct {
+	// Late is how long an answer is under way after its tickets were issued.
+	Late time.Duration
+	// Lost answers never arrive, and Truncated ones only in part. Refused calls are turned
+	// away undecided.
+	Lost, Truncated, Refused bool
+}
+
 // Service issues tickets and checks them. Each holds for one step on one run of a
 // worker's process.
 type Service struct {
@@ -32,6 +44,7 @@
 	grants map[string]grant
 	serial int
 	counts Counts
+	faults Faults
 }
 
 // Counts counts calls, and starts whose ticket was refused.
@@ -53,23 +66,46 @@
 
 // Issue returns a ticket for each of the workers that may run the step.
 func (s *Service) Issue(step cairnbay.WorkflowTask, workers []string) []cairnbay.Ticket {
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	step.Index = 0
-	s.counts.Calls++
-	tickets := make([]cairnbay.Ticket, 0, len(workers))
+	permitted := make([]grant, 0, len(workers))
 	for _, worker := range workers {
-		if s.config.Permits != nil && !s.config.Permits(step, worker) {
-			continue
+		if life := s.life(worker); life != "" && s.permits(step, worker) {
+			permitted = append(permitted, grant{step: step, worker: life})
 		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.counts.Calls++
+	tickets := make([]cairnbay.Ticket, 0, len(permitted))
+	for _, granted := range permitted {
 		s.serial++
 		text := "ticket-" + strconv.Itoa(s.serial)
-		s.grants[text] = grant{step, s.life(worker), s.config.Now() + s.config.Valid}
-		tickets = append(tickets, cairnbay.Ticket{Worker: worker, Ticket: text})
+		granted.expiresAt = s.config.Now() + s.config.Valid
+		s.grants[text] = granted
+		tickets = append(tickets, cairnbay.Ticket{Worker: cairnbay.WorkerName(granted.worker), Ticket: text})
 	}
 	return tickets
 }
 
+// CallTime is how long the service takes for a call.
+func (s *Service) CallTime(workers int) time.Duration {
+	return s.config.Decide + time.Duration(workers)*s.config.PerWorker
+}
+
+// Faults returns the faults of calls that are made now.
+func (s *Service) Faults() Faults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults
+}
+
+// ChangeFaults changes the faults of the calls from now on.
+func (s *Service) ChangeFaults(change func(faults *Faults)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change(&s.faults)
+}
+
 // Check is the check of a worker at a start. Errors: cairnbay.ErrInvalidTicket.
 func (s *Service) Check(worker string, order cairnbay.AgentStart) error {
 	s.mu.Lock()
@@ -91,6 +127,10 @@
 	return s.counts
 }
 
+func (s *Service) permits(step cairnbay.WorkflowTask, worker string) bool {
+	return s.config.Permits == nil || s.config.Permits(step, worker)
+}
+
 func (s *Service) life(worker string) string {
 	if s.config.Life == nil {
 		return worker
--- a/internal/fake/agent/crash.go
+++ b/internal/fake/agent/crash.go
@@ -50,6 +50,19 @@
 	return lives
 }
 
+// CurrentID returns the ID of the current life of a worker, also while it is down, and an
+// empty one for a worker that does not exist or is gone.
+func (f *Fleet) CurrentID(name string) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.settle()
+	w := f.current[name]
+	if w == nil || w.gone {
+		return ""
+	}
+	return w.id
+}
+
 func (f *Fleet) describe(w *worker) Life {
 	life := Life{ID: w.id, Address: w.address, Capacity: w.capacity}
 	if f.config.Incarnations {
--- a/internal/tool/soak/callers.go
+++ b/internal/tool/soak/callers.go
@@ -189,6 +189,9 @@
 		fmt.Fprintf(w.config.Out, ", %d %s (%d gangs)", count, one.name, gangs)
 	}
 	fmt.Fprintf(w.config.Out, ", %d starts, %d ends alone\n", w.fleet.Starts(), len(incomplete))
+	counts := w.policy.Counts()
+	fmt.Fprintf(w.config.Out, "policy service: tickets last for %v, %d calls, %d starts refused\n",
+		w.terms.Valid, counts.Calls, counts.Refusals)
 	if w.config.Pauses {
 		fmt.Fprintf(w.config.Out, "pauses: %d jobs asked for at paused owners\n", c.askedPaused.Load())
 	}
@@ -381,6 +384,9 @@
 func (c *callers) check(ctx context.Context) []string {
 	random := rand.New(rand.NewPCG(c.world.config.Seed, 0))
 	deadline := time.Now().Add(settleWait)
+	waits, settled := newWaitCheck(c.world, c.jobs), make(chan struct{})
+	var watch sync.WaitGroup
+	watch.Go(func() { waits.runUntil(settled) })
 	c.broken = append(c.broken, c.checkCancelled()...)
 	for _, one := range c.jobs {
 		if one.identity.invented && c.world.fleet.Started(one.id) {
@@ -399,7 +405,9 @@
 			}
 		}
 	}
-	return c.broken
+	close(settled)
+	watch.Wait()
+	return append(c.broken, waits.broken...)
 }
 
 // awaitGivenUp waits until a job with a task that crashes its workers is shown as failed.
--- a/internal/tool/soak/faults.go
+++ b/internal/tool/soak/faults.go
@@ -20,6 +20,7 @@
 	killInstance, stopInstance, pauseInstance, hangUp,
 	storeDown, storeSlow, storeLoses, storeForgets, storeRevokes, storeLink,
 	workerLink, workerCrash, workerCut, workerMute, workerShrink, configure,
+	adviceLate, adviceLoses, adviceTruncates, adviceRefuses,
 }
 
 const (
@@ -54,7 +55,10 @@
 		time.Sleep(time.Duration(random.Int64N(int64(gapMost))))
 		length := time.Duration(random.Int64N(int64(lengthMost)))
 		drawn := faults
-		if w.book != nil {
+		switch {
+		case w.config.Tickets:
+			drawn = ticketFaults
+		case w.book != nil:
 			drawn = keyFaults
 		}
 		did := drawn[random.IntN(len(drawn))](ctx, w, random, length)
--- a/internal/tool/soak/keys.go
+++ b/internal/tool/soak/keys.go
@@ -67,7 +67,7 @@
 	for _, workspace := range workspaces {
 		tenants = append(tenants, stand.Tenant{Name: workspace.Name, APIKeys: workspace.Keys, Weight: 1})
 	}
-	w.put(platform.RoutingKey, stand.TenantConfig(number, class, host, prefix, publicPrefix, tenants))
+	w.put(platform.RoutingKey, stand.TenantConfig(number, class, host, prefix, publicPrefix, w.terms, tenants))
 }
 
 // rotateInCalm changes keys after the last fault, so that callers see whether all
--- a/internal/tool/soak/quota.go
+++ b/internal/tool/soak/quota.go
@@ -39,9 +39,9 @@
 // configuration returns the configuration in force, with the workspace if it has a quota.
 func (w *world) configuration() []byte {
 	if w.config.Quota == 0 {
-		return stand.Config(w.version, class, host, prefix)
+		return stand.Config(w.version, class, host, prefix, w.terms)
 	}
-	return stand.TenantConfig(w.version, class, host, prefix, "", []stand.Tenant{{
+	return stand.TenantConfig(w.version, class, host, prefix, "", w.terms, []stand.Tenant{{
 		Name: quotaWorkspace, APIKeys: []string{quotaKey}, Weight: 100, MilliCPU: int64(w.quota.tasks) * taskSize.MilliCPU,
 	}})
 }
--- a/internal/tool/soak/soak.go
+++ b/internal/tool/soak/soak.go
@@ -14,6 +14,7 @@
 
 	"github.com/juju/errors"
 
+	"cairnbay/internal/process/timer"
 	"cairnbay/internal/tool/shell"
 )
 
@@ -42,6 +43,9 @@
 	// longer than callers wait, and that callers cancel every job, also one that had no
 	// answer.
 	Impatient bool
+	// Tickets says that the only faults are instances that pause and answers of the policy
+	// service that are late by more than their tickets last.
+	Tickets bool
 	// FirstPort is the first port of the first instance.
 	FirstPort int
 	// Program is the path of the program under test.
@@ -88,6 +92,7 @@
 			flags.BoolVar(&config.OddEntries, "odd-entries", config.OddEntries, "leave malformed entries of other writers among those of the workers")
 			flags.BoolVar(&config.Pauses, "pauses", config.Pauses, "pause the owners in turn, with no other faults, while every job is cancelled")
 			flags.BoolVar(&config.Impatient, "impatient", config.Impatient, "pause any instances in turn, briefly, while callers cancel every job, also one that had no answer")
+			flags.BoolVar(&config.Tickets, "tickets", config.Tickets, "pause instances and let answers of the policy service be late by more than their tickets last, with no other faults")
 			flags.IntVar(&config.FirstPort, "port", config.FirstPort, "first `port` of the instances, on loopback")
 			flags.StringVar(&config.Program, "program", "", "`path` of the program under test (default: this one)")
 			flags.StringVar(&config.Folder, "folder", "", "`folder` for settings and logs (default: a new one, removed after a run that held)")
@@ -101,8 +106,11 @@
 				if config.Workspaces > 0 && config.Quota > 0 {
 					return errors.Annotate(shell.ErrUsage, "-workspaces and -quota exclude each other")
 				}
-				if config.Pauses && config.Impatient {
-					return errors.Annotate(shell.ErrUsage, "-pauses and -impatient exclude each other")
+				if config.Pauses && config.Impatient || config.Tickets && config.pausesOnly() {
+					return errors.Annotate(shell.ErrUsage, "-pauses, -impatient and -tickets exclude each other")
+				}
+				if config.Workspaces > 0 && config.Tickets {
+					return errors.Annotate(shell.ErrUsage, "-workspaces and -tickets exclude each other")
 				}
 				if config.Workspaces < 0 || config.Workspaces == 1 {
 					return errors.Annotatef(shell.ErrUsage, "-workspaces %d: 0 or at least 2", config.Workspaces)
@@ -143,6 +151,7 @@
 	w.injectUntil(ctx, random, time.Now().Add(config.Length))
 	w.heal()
 	w.rotateInCalm(ctx, random)
+	w.calmFrom = timer.Boot()
 	calls.finish()
 	broken := append(w.fleet.Broken(), calls.check(ctx)...)
 	broken = append(broken, w.searchKeys(ctx)...)
--- a/internal/tool/soak/world.go
+++ b/internal/tool/soak/world.go
@@ -19,6 +19,7 @@
 
 	"cairnbay"
 	cairnbayv1 "cairnbay/gen/cairnbay/v1"
+	"cairnbay/internal/fake/advice"
 	"cairnbay/internal/fake/agent"
 	"cairnbay/internal/fake/keys"
 	"cairnbay/internal/fake/proxy"
@@ -77,6 +78,8 @@
 	clock   *timer.Service
 	store   *store.Store
 	fleet   *agent.Fleet
+	policy  *advice.Service
+	terms   cairnbay.AdviceTerms
 	servers []*http.Server
 	// toStore and toWorker are the proxies in front of the stand-ins, by instance
 	// and by worker.
@@ -86,6 +89,7 @@
 	// the fleet has brought those back.
 	workers, firstLives []string
 	shards              []string
+	layout              layout.Layout
 	lives               int
 	// version is the last version of a configuration without workspaces.
 	version int
@@ -107,8 +111,9 @@
 	slow sync.Map
 	// gangs are the numbers of members of the jobs whose steps are gangs, by job ID.
 	gangs sync.Map
-	// began is the boot time at which the schedule of faults began.
-	began time.Duration
+	// began is the boot time at which the schedule of faults began, and calmFrom that at
+	// which the last fault had ended, also those of rotateInCalm.
+	began, calmFrom time.Duration
 
 	mu        sync.Mutex
 	quota     quotaCheck
@@ -118,7 +123,8 @@
 
 func newWorld(config Config) (*world, error) {
 	clock := timer.New()
-	w := &world{config: config, clock: clock, store: store.New(store.Config{Clock: clock})}
+	w := &world{config: config, clock: clock, store: store.New(store.Config{Clock: clock}), terms: drawTerms(config.Seed)}
+	w.policy = w.newPolicy()
 	w.quota.tasks = config.Quota
 	w.fleet = agent.New(agent.Config{
 		Now: timer.Boot,
@@ -134,6 +140,7 @@
 		Fails: func(task cairnbay.WorkflowTask, attempt int) bool { return task.Index == 1 && attempt%3 == 1 },
 		Size:  func(cairnbay.WorkflowTask) cairnbay.Resources { return taskSize },
 		Gang:  func(task cairnbay.WorkflowTask) int { return w.gangSize(task.Job) }, GangTime: gangTime,
+		Admit: w.policy.Check,
 		Crash: agent.CrashPlan{
 			Deadly: w.isDeadly, After: func() time.Duration { return crashAfter }, Downtime: crashDowntime,
 		},
@@ -143,10 +150,6 @@
 	if err != nil {
 		return nil, err
 	}
-	advisor, err := w.serve(stand.Advisor(func(_, _ string) bool { return true }))
-	if err != nil {
-		return nil, err
-	}
 	agents, err := w.serve(stand.Worker(w.fleet))
 	if err != nil {
 		return nil, err
@@ -182,6 +185,10 @@
 			return nil, errors.Trace(err)
 		}
 		w.toStore = append(w.toStore, front)
+		advisor, err := w.serve(stand.Advisor(w.policy))
+		if err != nil {
+			return nil, err
+		}
 		text := stand.Settings(w.name(i), "127.0.0.1", config.FirstPort+i*portsEach, front.Address(), advisor)
 		if err := os.WriteFile(w.file(i, "toml"), []byte(text), 0o644); err != nil {
 			return nil, errors.Trace(err)
@@ -323,17 +330,22 @@
 	return fmt.Sprintf("r%d", worker/2)
 }
 
+// shardOf returns the number of the shard of a worker.
+func (w *world) shardOf(worker int) int {
+	return worker / 2 % w.config.Shards
+}
+
 // divide stores the layout of the class, since its few workers would make one shard.
 func (w *world) divide() error {
 	divided := layout.Layout{Class: class, Shards: w.config.Shards, Racks: make(map[string]int)}
 	for worker := range w.config.Workers {
-		divided.Racks[rackName(worker)] = worker / 2 % w.config.Shards
+		divided.Racks[rackName(worker)] = w.shardOf(worker)
 	}
 	value, err := divided.Encode()
 	if err != nil {
 		return errors.Trace(err)
 	}
-	w.shards = divided.Names()
+	w.layout, w.shards = divided, divided.Names()
 	w.put("cairnbay/live/layout/"+class, value)
 	return nil
 }
@@ -408,6 +420,7 @@
 	w.later.Wait()
 	w.store.SetDown(false)
 	w.store.SetSlow(0)
+	w.policy.ChangeFaults(func(faults *advice.Faults) { *faults = advice.Faults{} })
 	// Callers submit more than a low quota completes within settleWait.
 	w.changeQuota(w.config.Workers * int(workerSize.MilliCPU/taskSize.MilliCPU))
 	for _, front := range append(w.toStore, w.toWorker...) {
