--- a/internal/tool/soak/soak_test.go
+++ b/internal/tool/soak/soak_test.go
@@ -27,7 +27,7 @@
 		Expect(err).NotTo(HaveOccurred(), "%s", out)
 	})
 
-	DescribeTable("finds no broken promise while instances pause in turn",
+	DescribeTable("finds no broken promise while instances pause",
 		func(length time.Duration, pause func(config *soak.Config)) {
 			config := soak.Defaults()
 			config.Seed, config.Length, config.Program, config.Instances = 2, length, program, 4
@@ -43,6 +43,9 @@
 		// Guards against submissions that are accepted after their cancellation was
 		// acknowledged.
 		Entry("any, until their callers give up", 15*time.Second, func(config *soak.Config) { config.Impatient = true }),
+		// Guards against steps that wait for ever once each permitted worker has refused a
+		// ticket.
+		Entry("any, while tickets expire on their way", 15*time.Second, func(config *soak.Config) { config.Tickets = true }),
 	)
 
 	// Seeds that failed once stay here, each with its cause.
