--- a/internal/tool/soak/policy.go
+++ b/internal/tool/soak/policy.go
@@ -81,27 +81,34 @@
 func adviceLate(ctx context.Context, w *world, random *rand.Rand, _ time.Duration) string {
 	late := w.terms.Valid + lateLeast + time.Duration(random.Int64N(int64(lateSpread)))
 	length := lateShortest + time.Duration(random.Int64N(int64(lateMost-lateShortest)))
-	w.changeAdvice(ctx, length, func(faults *advice.Faults) { faults.Late = late }, func(faults *advice.Faults) { faults.Late = 0 })
+	w.changeAdvice(ctx, length, func(faults *advice.Faults, on bool) {
+		faults.Late = 0
+		if on {
+			faults.Late = late
+		}
+	})
 	return fmt.Sprintf("policy service late by %v for %v", late, length)
 }
 
 func adviceLoses(ctx context.Context, w *world, _ *rand.Rand, length time.Duration) string {
-	w.changeAdvice(ctx, length, func(faults *advice.Faults) { faults.Lost = true }, func(faults *advice.Faults) { faults.Lost = false })
+	w.changeAdvice(ctx, length, func(faults *advice.Faults, on bool) { faults.Lost = on })
 	return fmt.Sprintf("policy service loses answers for %v", length)
 }
 
 func adviceTruncates(ctx context.Context, w *world, _ *rand.Rand, length time.Duration) string {
-	w.changeAdvice(ctx, length, func(faults *advice.Faults) { faults.Truncated = true }, func(faults *advice.Faults) { faults.Truncated = false })
+	w.changeAdvice(ctx, length, func(faults *advice.Faults, on bool) { faults.Truncated = on })
 	return fmt.Sprintf("policy service truncates answers for %v", length)
 }
 
 func adviceRefuses(ctx context.Context, w *world, _ *rand.Rand, length time.Duration) string {
-	w.changeAdvice(ctx, length, func(faults *advice.Faults) { faults.Refused = true }, func(faults *advice.Faults) { faults.Refused = false })
+	w.changeAdvice(ctx, length, func(faults *advice.Faults, on bool) { faults.Refused = on })
 	return fmt.Sprintf("policy service refuses calls for %v", length)
 }
 
 // changeAdvice brings a fault of the policy service about and ends it once it has lasted.
-func (w *world) changeAdvice(ctx context.Context, length time.Duration, begin, end func(faults *advice.Faults)) {
-	w.policy.ChangeFaults(begin)
-	w.after(ctx, length, func() { w.policy.ChangeFaults(end) })
+func (w *world) changeAdvice(ctx context.Context, length time.Duration, set func(faults *advice.Faults, on bool)) {
+	w.policy.ChangeFaults(func(faults *advice.Faults) { set(faults, true) })
+	w.after(ctx, length, func() {
+		w.policy.ChangeFaults(func(faults *advice.Faults) { set(faults, false) })
+	})
 }
