owner: a change of owner is no failure, and failures are forgotten

Cause: each fenced runner counted as a failed takeover of its member, also where the successor ranked first as intended, and nothing lowered the count for the life of the process.

Change: a fenced runner counts only while its own member still ranks first, so that two members contend for the shard. Failures are forgotten 60 s after the last one, which is longer than the longest backoff with jitter.

Evidence: two specs, both failed before. Both hold now; the same spec says that contending members still wait (fewer than 12 takeovers in the third minute).

--- a/internal/process/owner/assign.go
+++ b/internal/process/owner/assign.go
@@ -159,7 +159,10 @@
 		if ownership := o.shards[runner.shard]; ownership != nil && ownership.runner == runner {
 			ownership.runner = nil
 			ownership.fencingEpoch = epoch
-			o.backOff(ownership, now)
+			// A successor that ranks first here too is an intended change of owner.
+			if ownership.firstSince >= 0 {
+				o.backOff(ownership, now)
+			}
 		}
 		o.mu.Unlock()
 		runner.close()
@@ -178,9 +181,13 @@
 	}
 }
 
-// backOff delays the next takeover, exponentially in the failures and with jitter.
+// backOff delays the next takeover, exponentially in the recent failures and with jitter.
 // The shift is bounded because maxBackoff is below minBackoff<<5.
 func (o *Owner) backOff(ownership *shardOwnership, now time.Duration) {
+	if now-ownership.failedAt > failureMemory {
+		ownership.failures = 0
+	}
+	ownership.failedAt = now
 	wait := min(minBackoff<<min(ownership.failures, 5), maxBackoff)
 	ownership.failures++
 	ownership.retryAt = now + wait/2 + time.Duration(o.random.Int64N(int64(wait)))
--- a/internal/process/owner/cluster_test.go
+++ b/internal/process/owner/cluster_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -43,6 +45,8 @@
 	self    cairnbay.Member
 	owner   *owner.Owner
 	down    bool
+	// alone says that the member sees no other member.
+	alone bool
 }
 
 func newCluster(workers int) *cluster {
@@ -102,6 +106,49 @@
 	c.mu.Unlock()
 }
 
+func (c *cluster) setUp(member *member) {
+	c.mu.Lock()
+	member.down = false
+	c.mu.Unlock()
+}
+
+// setAlone says whether every member sees no other one.
+func (c *cluster) setAlone(alone bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, member := range c.members {
+		member.alone = alone
+	}
+}
+
+// takeovers counts the takeovers of the shard's journal during a time.
+func (c *cluster) takeovers(length time.Duration) int {
+	GinkgoHelper()
+	first, last := 0, 0
+	end := c.clock.Now() + length
+	c.advanceUntil(func() bool {
+		for _, member := range c.members {
+			for _, status := range member.owner.Shards() {
+				generation, _, _ := strings.Cut(status.Epoch, ".")
+				number, err := strconv.Atoi(generation)
+				Expect(err).NotTo(HaveOccurred())
+				last = max(last, number)
+			}
+		}
+		if first == 0 {
+			first = last
+		}
+		return c.clock.Now() >= end
+	})
+	return last - first
+}
+
+func (c *cluster) isAlone(member *member) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return member.alone
+}
+
 // advanceUntil advances the clock in small steps, with heartbeats, until done
 // returns true.
 func (c *cluster) advanceUntil(done func() bool) {
@@ -196,7 +243,7 @@
 func (m *member) Live() []cairnbay.Member {
 	var live []cairnbay.Member
 	for _, other := range m.cluster.members {
-		if !m.cluster.isDown(other) {
+		if !m.cluster.isDown(other) && (other == m || !m.cluster.isAlone(m)) {
 			live = append(live, other.self)
 		}
 	}
--- a/internal/process/owner/owner.go
+++ b/internal/process/owner/owner.go
@@ -42,6 +42,9 @@
 	// multiplies it by 0.5 to 1.5.
 	minBackoff = time.Second
 	maxBackoff = 30 * time.Second
+	// failureMemory is how long after the last failure the failures in a row count. It
+	// exceeds the longest backoff with jitter and the takeover after it.
+	failureMemory = 2 * maxBackoff
 )
 
 // Config holds the dependencies and settings of an Owner.
@@ -136,8 +139,10 @@
 	firstSince time.Duration
 	// retryAt is the earliest time of the next takeover.
 	retryAt time.Duration
-	// failures counts failed takeovers and fencings; it determines the backoff.
+	// failures counts failed takeovers in a row, and fencings while this member ranks
+	// first; it determines the backoff. failedAt is the time of the last one.
 	failures int
+	failedAt time.Duration
 	// fencingEpoch is the epoch that fenced the last runner, zero if it was fenced
 	// through its journal only.
 	fencingEpoch cairnbay.Epoch
--- a/internal/process/owner/owner_test.go
+++ b/internal/process/owner/owner_test.go
@@ -150,4 +150,34 @@
 		Expect(cluster.store.Counts().Puts - before).To(Equal(1))
 		cluster.advanceUntil(func() bool { return len(cluster.runningCounts()) == 0 })
 	})
+
+	Describe("after several changes of owner", func() {
+		// Guards against changes of owner that count as failures for the life of the process.
+		It("has the next owner as soon as after the first one", func() {
+			first := cluster.activeMember()
+			var successor *member
+			for range 7 {
+				cluster.setDown(first)
+				stopped := cluster.clock.Now()
+				cluster.advanceUntil(func() bool { return cluster.activeMember() != nil })
+				Expect(cluster.clock.Now() - stopped).To(BeNumerically("<", 5*time.Second))
+				successor = cluster.activeMember()
+				cluster.setUp(first)
+				cluster.advanceUntil(func() bool {
+					return len(first.owner.Shards()) == 1 && len(successor.owner.Shards()) == 0
+				})
+			}
+		})
+
+		It("has rare changes while members contend for the shard, and forgets that afterwards", func() {
+			cluster.setAlone(true)
+			cluster.takeovers(2 * time.Minute)
+			Expect(cluster.takeovers(time.Minute)).To(BeNumerically("<", 12))
+
+			cluster.setAlone(false)
+			cluster.takeovers(3 * time.Minute)
+			cluster.setAlone(true)
+			Expect(cluster.takeovers(12 * time.Second)).To(BeNumerically(">=", 4))
+		})
+	})
 })
