fault, place: a probation ends where no work can probe the worker

Callers saw (by reading; the spec shows it): a worker that was quarantined gets no tasks again in a class without batch work that may run twice.

Cause: only three good probes ended a probation, and only such work probes. In a class of services nothing ends it, and the worker also counts against the fifth of the workers that may be out at once.

Change: a probation ends 30 minutes after its start, when the evidence against the worker has expired. If the worker still fails, the next quarantine is longer, as after a failed probe.

--- a/internal/process/fault/detector.go
+++ b/internal/process/fault/detector.go
@@ -7,6 +7,9 @@
 	// quarantine is twice as long, up to maxQuarantine.
 	firstQuarantine = time.Minute
 	maxQuarantine   = time.Hour
+	// maxProbation is the length of a probation in which too few probes ended: by then the
+	// evidence against the worker has expired. Work that may not run twice cannot probe it.
+	maxProbation = window
 	// probesToPass is how many consecutive probes must succeed to end a quarantine.
 	probesToPass = 3
 	// maxQuarantinedShare is the largest fraction of a shard's workers that may be in
@@ -79,7 +82,7 @@
 	if failedJobs < minFailures || probability >= significance {
 		return false
 	}
-	if !d.belowLimit(workers) {
+	if !d.belowLimit(workers, now) {
 		d.HeldOff++
 		return false
 	}
@@ -90,10 +93,10 @@
 // belowLimit reports whether one more worker may be quarantined. Workers in
 // quarantine and probation may together reach maxQuarantinedShare, or one worker if
 // that is less than one, but at least one worker stays healthy.
-func (d *Detector) belowLimit(workers int) bool {
+func (d *Detector) belowLimit(workers int, now time.Duration) bool {
 	active := 0
-	for _, entry := range d.quarantines {
-		if entry.active {
+	for worker := range d.quarantines {
+		if d.State(worker, now) != Healthy {
 			active++
 		}
 	}
@@ -137,7 +140,7 @@
 func (d *Detector) State(worker string, now time.Duration) State {
 	entry := d.quarantines[worker]
 	switch {
-	case entry == nil || !entry.active:
+	case entry == nil || !entry.active || now >= entry.until+maxProbation:
 		return Healthy
 	case now < entry.until:
 		return Quarantined
@@ -155,6 +158,15 @@
 	return 0
 }
 
+// ProbationEnd returns the time at which a worker's probation ends without probes; 0 for a
+// worker that was never quarantined.
+func (d *Detector) ProbationEnd(worker string) time.Duration {
+	if entry := d.quarantines[worker]; entry != nil {
+		return entry.until + maxProbation
+	}
+	return 0
+}
+
 // IsSuspect reports whether a job is considered the cause of its failures.
 func (d *Detector) IsSuspect(job string) bool { return d.evidence.isSuspect(job) }
 
--- a/internal/process/place/faults.go
+++ b/internal/process/place/faults.go
@@ -23,8 +23,8 @@
 		return
 	}
 	if e.faults.State(host.state.ID, now) == fault.Quarantined {
-		until := e.faults.ProbeAfter(host.state.ID)
-		e.timers.add(timer{at: until, worker: host})
+		e.timers.add(timer{at: e.faults.ProbeAfter(host.state.ID), worker: host})
+		e.timers.add(timer{at: e.faults.ProbationEnd(host.state.ID), worker: host})
 	}
 	e.reindex(host, now)
 }
--- a/internal/process/place/reserve_test.go
+++ b/internal/process/place/reserve_test.go
@@ -81,6 +81,36 @@
 		Expect(engine.Quarantines(now)["w3"]).To(ContainSubstring("probation"))
 	})
 
+	// Guards against workers that stay on probation for ever where nothing can probe them.
+	It("ends a probation in which no batch work probed the worker", func() {
+		engine := newEngine(2)
+		now := time.Second
+		for index := range 24 {
+			spec := newSpec(fmt.Sprintf("job%d", index), cairnbay.KindBatch, cairnbay.BandBatch, 2, 8)
+			spec.MaxAttempts = 1
+			if index < 12 {
+				enqueue(engine, spec)
+			}
+			for task, worker := range startAll(engine, now) {
+				reason := cairnbay.EndDone
+				if worker == "w1" {
+					reason = cairnbay.EndFailed
+				}
+				endTask(engine, task, worker, reason, now)
+			}
+			now += time.Second
+		}
+		Expect(engine.Quarantines(now)).To(HaveKey("w1"))
+		enqueue(engine, newSpec("service", cairnbay.KindService, cairnbay.BandService, 30, 8))
+		Expect(startAll(engine, now)).NotTo(ContainElement("w1"))
+		now += 10 * time.Minute
+		Expect(startAll(engine, now)).To(BeEmpty())
+		Expect(engine.Quarantines(now)["w1"]).To(ContainSubstring("probation"))
+		now += 30 * time.Minute
+		Expect(startAll(engine, now)).To(ContainElement("w1"))
+		Expect(engine.Quarantines(now)).To(BeEmpty())
+	})
+
 	It("tries a job that fails everywhere one task at a time", func() {
 		engine := newEngine(6)
 		bad := newSpec("bad", cairnbay.KindBatch, cairnbay.BandBatch, 30, 8)
