fault: forget the quarantines of a worker that has been healthy for an hour

Callers saw (by reading; the spec shows it): a worker that was quarantined six times over months is out for an hour after a seventh time.

Cause: nothing lowered the count of a worker's quarantines while it was there.

Change: the count starts anew once the worker has been healthy for longer than the longest quarantine, after good probes or at the end of its probation.

--- a/internal/process/fault/detector.go
+++ b/internal/process/fault/detector.go
@@ -4,7 +4,8 @@
 
 const (
 	// firstQuarantine is the length of a worker's first quarantine; each further
-	// quarantine is twice as long, up to maxQuarantine.
+	// quarantine is twice as long, up to maxQuarantine. They are forgotten once the worker
+	// has been healthy for longer than maxQuarantine.
 	firstQuarantine = time.Minute
 	maxQuarantine   = time.Hour
 	// maxProbation is the length of a probation in which too few probes ended: by then the
@@ -53,10 +54,21 @@
 	// until is the time at which probation starts.
 	until        time.Duration
 	passedProbes int
-	// total counts the quarantines of the worker, including this one.
+	// healthyFrom is when enough probes had passed, while not active.
+	healthyFrom time.Duration
+	// total counts the quarantines of the worker, including this one, none of which began
+	// more than maxQuarantine after the end of the one before.
 	total int
 }
 
+// endsAt is when the worker has become or will become healthy without further probes.
+func (q *quarantine) endsAt() time.Duration {
+	if q.active {
+		return q.until + maxProbation
+	}
+	return q.healthyFrom
+}
+
 // New returns a detector without evidence.
 func New() *Detector {
 	return &Detector{evidence: newEvidence(), quarantines: make(map[string]*quarantine)}
@@ -110,6 +122,9 @@
 		entry = &quarantine{}
 		d.quarantines[worker] = entry
 	}
+	if now-entry.endsAt() > maxQuarantine {
+		entry.total = 0
+	}
 	length := min(firstQuarantine<<min(entry.total, 10), maxQuarantine)
 	entry.active, entry.passedProbes = true, 0
 	entry.total++
@@ -131,7 +146,7 @@
 	if entry.passedProbes < probesToPass {
 		return false
 	}
-	entry.active = false
+	entry.active, entry.healthyFrom = false, now
 	d.evidence.dropWorker(worker)
 	return true
 }
--- a/internal/process/fault/detector_test.go
+++ b/internal/process/fault/detector_test.go
@@ -98,6 +98,37 @@
 	})
 })
 
+// Guards against quarantines that count for as long as the worker is there.
+var _ = Describe("Detector of a worker that was quarantined often", func() {
+	It("forgets that once the worker has been healthy for as long as the longest quarantine", func() {
+		detector := fault.New()
+		now := time.Duration(0)
+		quarantine := func() time.Duration {
+			for job := range 3 {
+				detector.Observe("w1", fmt.Sprint("j", now, job), true, classSize, now)
+			}
+			Expect(detector.State("w1", now)).To(Equal(fault.Quarantined))
+			return detector.ProbeAfter("w1") - now
+		}
+		recover := func() {
+			now = detector.ProbeAfter("w1")
+			for range 3 {
+				detector.Observe("w1", "probe", false, classSize, now)
+			}
+			Expect(detector.State("w1", now)).To(Equal(fault.Healthy))
+		}
+		Expect(quarantine()).To(Equal(time.Minute))
+		recover()
+		now += 50 * time.Minute
+		Expect(quarantine()).To(Equal(2*time.Minute), "soon after the first")
+		recover()
+		now += 61 * time.Minute
+		Expect(quarantine()).To(Equal(time.Minute))
+		now = detector.ProbationEnd("w1") + 50*time.Minute
+		Expect(quarantine()).To(Equal(2*time.Minute), "soon after a probation without probes")
+	})
+})
+
 // BenchmarkVerdicts reports, for half an hour of a class of 35 workers with one
 // task end per second, how many good workers are quarantined and how many tasks a
 // worker that fails every task ends before its quarantine.
