drive: call a listed worker again after another one answered at its address

Callers saw (by reading; the spec shows it): a free, listed worker gets no tasks for as long as the list shows it at one address.

Cause: an answer of another worker at that address excluded the listed one until it left the list or changed its address. The list may be ahead of the worker's move to the address of another one, and a list without changes is not read again.

Change: the worker is called again after 1 s, then 2 s and so on up to 32 s, while it is listed; its own answer forgets the former ones. It gets no tasks before it has answered.

--- a/internal/process/drive/drive.go
+++ b/internal/process/drive/drive.go
@@ -99,7 +99,7 @@
 	listRead bool
 	// replaced holds the workers that the list still contains although another worker
 	// answers at their address.
-	replaced map[string]cairnbay.AgentTarget
+	replaced map[string]replacedWorker
 	// refusals are the IDs of the workers that have refused the token since they last
 	// answered.
 	refusals map[string]struct{}
@@ -170,7 +170,7 @@
 		config: config, ctx: ctx, cancel: cancel, planDue: make(chan struct{}, 1), compactDue: make(chan struct{}, 1),
 		core: sched.New(config.Sched), links: make(map[string]*link), lineages: make(map[string]*lineage),
 		listed: make(map[string]cairnbay.WorkerEntry), pending: make(map[string]*pendingSubmission), recordsStored: make(chan struct{}),
-		inherited: make(map[string]struct{}), refusals: make(map[string]struct{}), replaced: make(map[string]cairnbay.AgentTarget), pacer: newPacer(), meters: newMeters(config.Metrics, config.Claim.Shard),
+		inherited: make(map[string]struct{}), refusals: make(map[string]struct{}), replaced: make(map[string]replacedWorker), pacer: newPacer(), meters: newMeters(config.Metrics, config.Claim.Shard),
 	}
 	d.shareMeters = newShareMeters(d.meters)
 	d.writer = record.New(record.Config{
@@ -330,7 +330,7 @@
 	for _, entry := range entries {
 		listed[entry.ID] = entry
 	}
-	maps.DeleteFunc(d.replaced, func(id string, _ cairnbay.AgentTarget) bool {
+	maps.DeleteFunc(d.replaced, func(id string, _ replacedWorker) bool {
 		_, ok := listed[id]
 		return !ok
 	})
@@ -373,7 +373,7 @@
 	if known := d.lineages[cairnbay.WorkerName(entry.ID)]; known != nil && known.isKnown(entry.ID) {
 		return
 	}
-	if gone, ok := d.replaced[entry.ID]; ok && gone.Address == entry.Address {
+	if d.isReplaced(entry.ID, entry.Address) {
 		return
 	}
 	d.core.SetWorker(entry)
@@ -440,6 +440,7 @@
 	ticked := d.tickDue.Swap(false)
 	if ticked {
 		d.core.Tick()
+		d.retryReplaced()
 	}
 	now := d.now()
 	d.late.observe(now.BootTime - time.Duration(d.planDueAt.Swap(0)))
--- a/internal/process/drive/link.go
+++ b/internal/process/drive/link.go
@@ -296,13 +296,6 @@
 	return renewRetryPause, true
 }
 
-// dropReplaced removes a worker at whose address another one answers; the caller holds
-// the lock.
-func (d *Drive) dropReplaced(l *link) {
-	d.replaced[l.entry.ID] = l.target()
-	d.drop(l, "replaced")
-}
-
 // drop removes a worker and its link; the caller holds the lock.
 func (d *Drive) drop(l *link, reason string) {
 	l.dropped = true
@@ -369,6 +362,7 @@
 		return 0
 	}
 	delete(d.refusals, l.entry.ID)
+	delete(d.replaced, l.entry.ID)
 	ended, released := d.endFormer(l, state)
 	result := d.core.HandleHold(now, l.entry.ID, sent, state)
 	d.logGivenUp()
