--- a/internal/process/fault/detector.go
+++ b/internal/process/fault/detector.go
@@ -4,9 +4,13 @@
 
 const (
 	// firstQuarantine is the length of a worker's first quarantine; each further
-	// quarantine is twice as long, up to maxQuarantine.
+	// quarantine is twice as long, up to maxQuarantine. They are forgotten once the worker
+	// has been healthy for longer than maxQuarantine.
 	firstQuarantine = time.Minute
 	maxQuarantine   = time.Hour
+	// maxProbation is the length of a probation in which too few probes ended: by then the
+	// evidence against the worker has expired. Work that may not run twice cannot probe it.
+	maxProbation = window
 	// probesToPass is how many consecutive probes must succeed to end a quarantine.
 	probesToPass = 3
 	// maxQuarantinedShare is the largest fraction of a shard's workers that may be in
@@ -50,10 +54,21 @@
 	// until is the time at which probation starts.
 	until        time.Duration
 	passedProbes int
-	// total counts the quarantines of the worker, including this one.
+	// healthyFrom is when enough probes had passed, while not active.
+	healthyFrom time.Duration
+	// total counts the quarantines of the worker, including this one, none of which began
+	// more than maxQuarantine after the end of the one before.
 	total int
 }
 
+// endsAt is when the worker has become or will become healthy without further probes.
+func (q *quarantine) endsAt() time.Duration {
+	if q.active {
+		return q.until + maxProbation
+	}
+	return q.healthyFrom
+}
+
 // New returns a detector without evidence.
 func New() *Detector {
 	return &Detector{evidence: newEvidence(), quarantines: make(map[string]*quarantine)}
@@ -79,7 +94,7 @@
 	if failedJobs < minFailures || probability >= significance {
 		return false
 	}
-	if !d.belowLimit(workers) {
+	if !d.belowLimit(workers, now) {
 		d.HeldOff++
 		return false
 	}
@@ -90,10 +105,10 @@
 // belowLimit reports whether one more worker may be quarantined. Workers in
 // quarantine and probation may together reach maxQuarantinedShare, or one worker if
 // that is less than one, but at least one worker stays healthy.
-func (d *Detector) belowLimit(workers int) bool {
+func (d *Detector) belowLimit(workers int, now time.Duration) bool {
 	active := 0
-	for _, entry := range d.quarantines {
-		if entry.active {
+	for worker := range d.quarantines {
+		if d.State(worker, now) != Healthy {
 			active++
 		}
 	}
@@ -107,6 +122,9 @@
 		entry = &quarantine{}
 		d.quarantines[worker] = entry
 	}
+	if now-entry.endsAt() > maxQuarantine {
+		entry.total = 0
+	}
 	length := min(firstQuarantine<<min(entry.total, 10), maxQuarantine)
 	entry.active, entry.passedProbes = true, 0
 	entry.total++
@@ -128,7 +146,7 @@
 	if entry.passedProbes < probesToPass {
 		return false
 	}
-	entry.active = false
+	entry.active, entry.healthyFrom = false, now
 	d.evidence.dropWorker(worker)
 	return true
 }
@@ -137,7 +155,7 @@
 func (d *Detector) State(worker string, now time.Duration) State {
 	entry := d.quarantines[worker]
 	switch {
-	case entry == nil || !entry.active:
+	case entry == nil || !entry.active || now >= entry.until+maxProbation:
 		return Healthy
 	case now < entry.until:
 		return Quarantined
@@ -155,6 +173,15 @@
 	return 0
 }
 
+// ProbationEnd returns the time at which a worker's probation ends without probes; 0 for a
+// worker that was never quarantined.
+func (d *Detector) ProbationEnd(worker string) time.Duration {
+	if entry := d.quarantines[worker]; entry != nil {
+		return entry.until + maxProbation
+	}
+	return 0
+}
+
 // IsSuspect reports whether a job is considered the cause of its failures.
 func (d *Detector) IsSuspect(job string) bool { return d.evidence.isSuspect(job) }
 
