pull: count the answer of an instance that is out of date from its call

What callers may have seen: an instance that was paused refuses valid keys, or accepts withdrawn ones, for up to 3 s, though other instances are up to date.

Cause: an instance stays in service with an old configuration while the others are known to be out of date as well. The time of that knowledge was counted from the moment at which the answer was handled, which may have waited for as long as the process was paused. It speaks of a time after the call.

Change: the time of the call counts.

--- a/internal/process/pull/exchange.go
+++ b/internal/process/pull/exchange.go
@@ -76,7 +76,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !upToDate {
-		p.staleAnswerAt, p.hasStaleAnswer = p.config.BootTime(), true
+		p.staleAnswerAt, p.hasStaleAnswer = max(p.staleAnswerAt, sentAt), true
 	} else if same {
 		p.checked = true
 	}
--- a/internal/process/pull/pull.go
+++ b/internal/process/pull/pull.go
@@ -76,8 +76,8 @@
 	hasConfirmed bool
 	// checked says that another instance that is up to date has answered.
 	checked bool
-	// staleAnswerAt is the boot time of the last answer of an instance that is out of
-	// date as well; hasStaleAnswer is false before the first.
+	// staleAnswerAt is the boot time of the last call that an instance has answered which
+	// is out of date as well; hasStaleAnswer is false before the first.
 	staleAnswerAt  time.Duration
 	hasStaleAnswer bool
 	// lastRoundAt is the boot time at which the last finished round began; unanswered
--- a/internal/process/pull/pull_test.go
+++ b/internal/process/pull/pull_test.go
@@ -45,6 +45,8 @@
 	version uint64
 	// silent instances lose every call, and answer none.
 	silent bool
+	// delay is how long an answer waits before the caller handles it.
+	delay time.Duration
 }
 
 func (n *network) boot() time.Duration {
@@ -105,7 +107,9 @@
 	if i.silent {
 		return nil, connect.NewError(connect.CodeUnavailable, errors.New("lost"))
 	}
-	return connect.NewResponse(i.Answer(request.Msg.GetVersion())), nil
+	answer := i.Answer(request.Msg.GetVersion())
+	i.network.advance(i.delay)
+	return connect.NewResponse(answer), nil
 }
 
 var _ = Describe("pulls between instances", func() {
@@ -215,6 +219,20 @@
 		Expect(own.Age()).To(BeZero())
 	})
 
+	// Guards against an instance that serves callers with old keys after a pause, since the
+	// others were out of date before it.
+	It("do not take what was so before a pause for an outage for all", func() {
+		peer.version = 5
+		own.Confirm(net.boot())
+		net.advance(pull.MaxAge + time.Second)
+		peer.delay = pull.MaxAge + time.Second
+		own.Round(ctx)
+		Expect(own.OutOfDate()).To(BeTrue())
+		peer.delay = 0
+		own.Round(ctx)
+		Expect(own.OutOfDate()).To(BeFalse())
+	})
+
 	It("are awaited by the first call after a suspension, and not by the next ones if they are in vain", func() {
 		peer.version = 5
 		own.Confirm(net.boot())
