sched: count the time without progress on the worker's clock

What callers may have seen: after a pause of an owner of over 2.5 s, tasks that work are stopped with `no_progress` and start again, their workers get no new tasks for 3 s, and inherited gangs are stopped as incomplete.

Cause: the time without progress was counted up to the moment at which a report is handled. A report that waited in the socket of the paused owner speaks of a moment before the pause. The progress in it was also taken for that of a later moment if the answer to an order was handled before the report.

Change: all three count on the worker's clock in the report.

Both specs fail without the change.

--- a/internal/process/sched/gang.go
+++ b/internal/process/sched/gang.go
@@ -78,12 +78,12 @@
 // inheritedGangStalled reports whether an inherited attempt belongs to a gang that has
 // certainly not begun to work, though workers that may run its other members have not
 // answered yet. Such a worker may stay silent for longer than the members wait.
-func (c *Core) inheritedGangStalled(now Moment, a *attempt) bool {
+func (c *Core) inheritedGangStalled(a *attempt, clock time.Duration) bool {
 	if !c.blockInherited || !a.stage.spec.Gang || a.percent > 0 || a.stage.gangComplete() {
 		return false
 	}
 	limit := max(gangBeginTimeout, c.runTime(a.stage.job.workflow.Queue.Name, a.stage.spec)/gangBeginShare)
-	return now.BootTime-a.startedAt > limit
+	return clock-a.knownAt > limit
 }
 
 // gangComplete reports whether every member is attached under one attempt number.
--- a/internal/process/sched/progress.go
+++ b/internal/process/sched/progress.go
@@ -144,12 +144,11 @@
 		!a.stage.spec.Gang && !a.stage.spec.LongRunning && !a.stage.spec.BestEffort
 }
 
-// sampleProgress adds the progress in a worker's report.
-func (c *Core) sampleProgress(now Moment, a *attempt, percent int) {
+// sampleProgress adds the progress in a worker's report, with the worker's clock in it.
+func (c *Core) sampleProgress(now Moment, a *attempt, clock time.Duration, percent int) {
 	if !c.config.Learn.Straggler || !judgesProgress(a) {
 		return
 	}
-	clock := a.worker.clock
 	if a.partial && clock-a.knownAt < resumeGrace {
 		return
 	}
--- a/internal/process/sched/result.go
+++ b/internal/process/sched/result.go
@@ -100,7 +100,7 @@
 	a.phase = phaseRunning
 	a.phaseSince = now.BootTime
 	a.startedAt = now.BootTime
-	a.percentAt = now.BootTime
+	a.percentAt, a.percentClock = now.BootTime, a.worker.clock
 	if !a.known {
 		a.known, a.knownAt = true, a.worker.clock
 	}
@@ -202,7 +202,7 @@
 	listed := make(map[cairnbay.WorkflowTask]int, len(state.Running))
 	for _, running := range state.Running {
 		listed[running.Task] = running.Attempt
-		result.Records = append(result.Records, c.handleRunning(now, worker, running)...)
+		result.Records = append(result.Records, c.handleRunning(now, worker, state.Clock, running)...)
 	}
 	c.judgeProgress(now, worker)
 	if state.EndsTruncated {
@@ -218,8 +218,9 @@
 	return result
 }
 
-// handleRunning processes one running task of a worker's state.
-func (c *Core) handleRunning(now Moment, worker *worker, running cairnbay.AgentTask) []Record {
+// handleRunning processes one running task of a worker's state. clock is the worker's
+// clock in that state: an order that was answered later may have been handled before.
+func (c *Core) handleRunning(now Moment, worker *worker, clock time.Duration, running cairnbay.AgentTask) []Record {
 	a := worker.attempts[running.Task]
 	if a == nil {
 		a = c.adopt(now, worker, running)
@@ -231,15 +232,15 @@
 		c.markRunning(now, a)
 	}
 	if running.Percent != a.percent {
-		a.percent, a.percentAt = running.Percent, now.BootTime
+		a.percent, a.percentAt, a.percentClock = running.Percent, now.BootTime, clock
 		c.observeProgress(now, a)
 	}
 	if !a.stable && a.stage != nil && a.stage.spec.LongRunning && a.percent >= startedUpPercent && now.BootTime-a.startedAt > stableRunTime {
 		a.stable = true
 		worker.health.addSuccess()
 	}
-	c.sampleProgress(now, a, running.Percent)
-	c.checkProgress(now, a)
+	c.sampleProgress(now, a, clock, running.Percent)
+	c.checkProgress(now, a, clock)
 	if a.task != nil {
 		former := a.task.checkpoint
 		a.stage.saveCheckpoint(a.task, running.Attempt, running.Checkpoint)
@@ -253,12 +254,13 @@
 
 // checkProgress stops an attempt whose progress has not changed for the stall
 // timeout, and pauses new tasks on its worker. The worker may look healthy by
-// every other sign.
-func (c *Core) checkProgress(now Moment, a *attempt) {
+// every other sign. The time counts on the worker's clock, up to its report: this
+// process may have been paused since.
+func (c *Core) checkProgress(now Moment, a *attempt, clock time.Duration) {
 	if a.stage == nil || a.stopCause != "" || a.phase != phaseRunning || a.stage.spec.BestEffort {
 		return
 	}
-	if c.inheritedGangStalled(now, a) {
+	if c.inheritedGangStalled(a, clock) {
 		c.stopIncompleteGang(a.stage)
 		return
 	}
@@ -269,7 +271,7 @@
 		}
 		limit = startupStallTimeout
 	}
-	if now.BootTime-a.percentAt <= limit {
+	if clock-a.percentClock <= limit {
 		return
 	}
 	a.worker.health.addStall(now.BootTime)
--- a/internal/process/sched/sched_test.go
+++ b/internal/process/sched/sched_test.go
@@ -406,14 +406,16 @@
 })
 
 var _ = Describe("a task without progress", func() {
-	// state lists one running task with its progress.
-	state := func(percent int) cairnbay.AgentState {
-		return cairnbay.AgentState{Running: []cairnbay.AgentTask{{Task: task("j", 0), Attempt: 1, Percent: percent}}}
-	}
 	var (
 		core *sched.Core
 		now  sched.Moment
 	)
+	// state lists one running task with its progress.
+	state := func(percent int) cairnbay.AgentState {
+		return cairnbay.AgentState{
+			Clock: now.BootTime, Running: []cairnbay.AgentTask{{Task: task("j", 0), Attempt: 1, Percent: percent}},
+		}
+	}
 	setUp := func(change func(step *cairnbay.WorkflowStep)) {
 		now = sched.Moment{BootTime: time.Second}
 		core = sched.New(config)
@@ -423,9 +425,8 @@
 		core.Accept(now, job, false)
 		core.HandleHold(now, "a", now.BootTime, state(0))
 	}
-	stopCauses := func(after time.Duration, percent int) (causes []sched.EndCause) {
-		now.BootTime += after
-		core.HandleHold(now, "a", now.BootTime, state(percent))
+	handle := func(sent time.Duration, state cairnbay.AgentState) (causes []sched.EndCause) {
+		core.HandleHold(now, "a", sent, state)
 		for _, action := range core.Plan(now) {
 			if action.Stop != nil {
 				causes = append(causes, action.Stop.Cause)
@@ -433,6 +434,10 @@
 		}
 		return causes
 	}
+	stopCauses := func(after time.Duration, percent int) (causes []sched.EndCause) {
+		now.BootTime += after
+		return handle(now.BootTime, state(percent))
+	}
 
 	It("is stopped, but not while it makes progress", func() {
 		setUp(func(*cairnbay.WorkflowStep) {})
@@ -442,6 +447,19 @@
 		Expect(stopCauses(3*time.Second, 5)).To(Equal([]sched.EndCause{sched.CauseStalled}))
 	})
 
+	// Guards against tasks that are stopped because their owner was paused.
+	It("is left running if the report without progress is older than the pause of its owner", func() {
+		setUp(func(*cairnbay.WorkflowStep) {})
+		Expect(stopCauses(time.Second, 10)).To(BeEmpty())
+		now.BootTime += 200 * time.Millisecond
+		sent, old := now.BootTime, state(10)
+		now.BootTime += 5 * time.Second
+		core.HandleAnswer("a", now.BootTime)
+		Expect(handle(sent, old)).To(BeEmpty())
+		Expect(stopCauses(0, 60)).To(BeEmpty())
+		Expect(stopCauses(3*time.Second, 60)).To(Equal([]sched.EndCause{sched.CauseStalled}))
+	})
+
 	It("is left running if it has started up or is best-effort", func() {
 		setUp(func(step *cairnbay.WorkflowStep) { step.LongRunning = true })
 		Expect(stopCauses(time.Second, 100)).To(BeEmpty())
--- a/internal/process/sched/succession_test.go
+++ b/internal/process/sched/succession_test.go
@@ -54,8 +54,9 @@
 	return cairnbay.AgentState{Running: tasks}
 }
 
-// answers processes a worker's answer to a hold.
+// answers processes a worker's answer to a hold, which it gives now.
 func (s *succession) answers(worker string, state cairnbay.AgentState) {
+	state.Clock = s.now.BootTime
 	s.core.HandleHold(s.now, worker, s.now.BootTime, state)
 }
 
@@ -171,6 +172,19 @@
 		s.expectRestart(2)
 	})
 
+	// Guards against gangs that are stopped because their owner was paused.
+	It("is not stopped for a report without progress that is older than a pause of its owner", func() {
+		s := newSuccession("a", "b")
+		s.answers("a", runs(member(0, formerAttempt, 0)))
+		sent, old := s.now.BootTime, runs(member(0, formerAttempt, 0))
+		old.Clock = sent + 200*time.Millisecond
+		s.now.BootTime += 5 * time.Second
+		s.core.HandleHold(s.now, "a", sent, old)
+		Expect(s.plan().stops).To(BeEmpty())
+		s.answers("a", runs(member(0, formerAttempt, 0)))
+		Expect(s.plan().stops).To(HaveLen(1))
+	})
+
 	It("is not stopped while its other members may run on a silent worker", func() {
 		s := newSuccession("a", "b", "c")
 		s.answers("a", runs(member(0, formerAttempt, 0)))
--- a/internal/process/sched/worker.go
+++ b/internal/process/sched/worker.go
@@ -91,9 +91,10 @@
 	// partial is set where the work began in an earlier attempt or under
 	// another owner. The run time of such an attempt is not used for estimates.
 	partial bool
-	// percent is the last reported progress, percentAt when it changed.
-	percent   int
-	percentAt time.Duration
+	// percent is the last reported progress, percentAt when its change was handled, and
+	// percentClock the worker's clock in the report of the change.
+	percent                 int
+	percentAt, percentClock time.Duration
 	// stable is set once a long-running task has been at work for longer than stableRunTime.
 	stable bool
 	// savedAt is when the worker last reported a new checkpoint, 0 for never.
