node: count how long a class has the same workers from the call for their list

What operators may have seen: a class that is divided into too few shards, for good, after an instance was paused at its first start.

Cause: a class is divided once the number of its workers has stayed the same for 300 ms. The time counted up to the moment at which the last list was handled. A list that waited as long as the instance was paused speaks of an earlier moment, at which workers may still have been about to register.

Change: the time counts up to the call for the last list.

--- a/internal/process/node/shards.go
+++ b/internal/process/node/shards.go
@@ -25,23 +25,25 @@
 	since  map[string]time.Duration
 }
 
-// settled notes the number of workers of a class and reports whether it has stayed
-// the same for divideSettleTime.
-func (c *census) settled(class string, workers int, now time.Duration) bool {
+// settled notes the number of workers of a class in a list that was asked for at one time
+// and handled at another, and reports whether it has stayed the same for
+// divideSettleTime. The list speaks of a time in between.
+func (c *census) settled(class string, workers int, asked, handled time.Duration) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.counts == nil {
 		c.counts, c.since = make(map[string]int), make(map[string]time.Duration)
 	}
 	if _, seen := c.since[class]; !seen || c.counts[class] != workers {
-		c.counts[class], c.since[class] = workers, now
+		c.counts[class], c.since[class] = workers, handled
 	}
-	return now-c.since[class] >= divideSettleTime
+	return asked-c.since[class] >= divideSettleTime
 }
 
 // divide returns the division of a class by its workers and by the strongest
 // instances; false while the class has no workers or their number changes.
 func (n *Node) divide(ctx context.Context, class string) (layout.Layout, bool) {
+	asked := n.config.Clock.Now()
 	listing, err := n.config.Platform.Store.List(ctx, n.config.Platform.WorkerPrefix)
 	if err != nil {
 		n.config.Log.WithError(err).WithField("class", class).Warn("workers not listed for the division")
@@ -58,7 +60,7 @@
 			workers = append(workers, worker)
 		}
 	}
-	settled := n.census.settled(class, len(workers), n.config.Clock.Now())
+	settled := n.census.settled(class, len(workers), asked, n.config.Clock.Now())
 	if len(workers) == 0 || !settled {
 		return layout.Layout{}, false
 	}
