tenure: count the store as healthy from the end of a failed renewal

What callers may have seen: after a pause of the next owner over an outage of the store, tasks on draining workers run twice, since workers whose entries lapsed in the outage count as departed.

Cause: a new owner takes a draining worker without an entry for departed if the store was healthy for long before the claim. That time counted from the beginning of the last failed renewal, which may have ended much later, and not at all from a lease that was found lapsed after a pause, in which the store may have been down.

Change: it counts from the end of a failed renewal, and from the moment at which the lease was found lapsed.

--- a/internal/process/tenure/tenure.go
+++ b/internal/process/tenure/tenure.go
@@ -84,8 +84,8 @@
 	// AfterRestart reports that the previous owner was an earlier process of this
 	// instance. That process has ended, so it gives no more orders.
 	AfterRestart bool
-	// StoreHealthyFor is the time from the last failure to renew the lease, or from
-	// the start of the process, to ClaimedAt.
+	// StoreHealthyFor is the time to ClaimedAt since the lease was last found lapsed or
+	// not renewed, or since the start of the process.
 	StoreHealthyFor time.Duration
 	// ClaimedAt is the time just before the claim was written, on the boot-time
 	// clock.
@@ -154,8 +154,8 @@
 	// everClaimed holds the shards that this process has claimed at least once.
 	everClaimed map[string]bool
 	stopping    bool
-	// storeHealthySince is the time of the last failure to renew the lease, or of
-	// the start, on the boot-time clock.
+	// storeHealthySince is the time at which the lease was last found lapsed or not
+	// renewed, or of the start, on the boot-time clock.
 	storeHealthySince time.Duration
 	// lease is 0 before the first grant and after Resign.
 	lease cairnbay.LeaseID
@@ -372,7 +372,7 @@
 			continue
 		}
 		t.mu.Lock()
-		t.storeHealthySince = now
+		t.storeHealthySince = t.config.BootTime()
 		t.mu.Unlock()
 	}
 }
@@ -419,6 +419,8 @@
 		t.config.Log.WithField("since_renewal_ms", (sent - t.renewedAt).Milliseconds()).Warn("store lease lapsed")
 		t.mu.Lock()
 		t.lapsedAt = t.config.BootTime()
+		// Nothing is known of the store for the time of the pause or outage.
+		t.storeHealthySince = t.lapsedAt
 		t.mu.Unlock()
 	}
 	sent := t.config.BootTime()
