--- a/internal/process/drive/departed_test.go
+++ b/internal/process/drive/departed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"os"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -84,4 +85,22 @@
 		Consistently(c.fleet.Starts, "5s").Should(Equal(1))
 		Expect(c.fleet.Running(worker)).To(Equal([]cairnbay.WorkflowTask{{Job: "j"}}))
 	})
+
+	It("keeps its tasks under the next owner until the lease from the former one has ended", func() {
+		if os.Getenv("CAIRNBAY_SKIP_KNOWN_RED") != "" {
+			Skip("listed in KNOWN-RED.txt")
+		}
+		c.fleet.Cut(worker, false)
+		// The former owner renews its lease until the claim.
+		time.Sleep(1500 * time.Millisecond)
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		Expect(owner.Flush(ctx)).To(Succeed())
+		owner.Close()
+		c.fleet.Cut(worker, true)
+		Expect(c.fleet.Running(worker)).To(HaveLen(1))
+		owner = c.startOwner()
+		Eventually(c.fleet.Starts, "15s", "1ms").Should(Equal(2))
+		Expect(c.fleet.Running(worker)).To(BeEmpty())
+	})
 })
