--- a/internal/process/drive/meters.go
+++ b/internal/process/drive/meters.go
@@ -117,7 +117,8 @@
 // stepsWaiting reports the steps that wait for the policy service.
 func (m meters) stepsWaiting(byReason map[sched.AdviceWaitReason]int) {
 	for _, reason := range []sched.AdviceWaitReason{
-		sched.AdviceWaitAnswer, sched.AdviceWaitLimit, sched.AdviceWaitWorkers, sched.AdviceWaitRoom, sched.AdviceWaitTicket,
+		sched.AdviceWaitAnswer, sched.AdviceWaitLimit, sched.AdviceWaitBackoff, sched.AdviceWaitWorkers, sched.AdviceWaitRoom,
+		sched.AdviceWaitTicket, sched.AdviceWaitTurn,
 	} {
 		name := fmt.Sprintf("cairnbay_steps_waiting_for_policy{shard=%q,reason=%q}", m.shard, reason)
 		m.set.GetOrCreateGauge(name, nil).Set(float64(byReason[reason]))
--- a/internal/process/sched/advicewait.go
+++ b/internal/process/sched/advicewait.go
@@ -13,9 +13,10 @@
 const (
 	// AdviceWaitAnswer is a call to the policy service in flight.
 	AdviceWaitAnswer AdviceWaitReason = "call_in_flight"
-	// AdviceWaitLimit is the limit of calls to the policy service, or the pause after calls
-	// that failed or whose tickets were refused.
-	AdviceWaitLimit AdviceWaitReason = "policy_busy"
+	// AdviceWaitLimit is the limit of calls to the policy service, AdviceWaitBackoff the
+	// pause after calls that failed or whose tickets were refused.
+	AdviceWaitLimit   AdviceWaitReason = "policy_busy"
+	AdviceWaitBackoff AdviceWaitReason = "backoff"
 	// AdviceWaitWorkers is a lack of workers that the policy service permits, whatever runs
 	// on them.
 	AdviceWaitWorkers AdviceWaitReason = "no_permitted_worker"
@@ -23,6 +24,8 @@
 	AdviceWaitRoom AdviceWaitReason = "no_room"
 	// AdviceWaitTicket is the lack of a valid ticket, though permitted workers have room.
 	AdviceWaitTicket AdviceWaitReason = "no_ticket"
+	// AdviceWaitTurn is a step with valid tickets that other work precedes.
+	AdviceWaitTurn AdviceWaitReason = "other_work_first"
 )
 
 // adviceWaitLimit is how long a step may wait for its first start before that is reported.
@@ -99,6 +102,10 @@
 		return AdviceWaitWorkers
 	case c.fittingNow(now, stage, unit, false) < unit:
 		return AdviceWaitRoom
+	case stage.advice.anyValid(now.BootTime):
+		return AdviceWaitTurn
+	case now.BootTime < stage.advice.retryAt:
+		return AdviceWaitBackoff
 	case !c.mayCallPolicy(now, stage):
 		return AdviceWaitLimit
 	default:
