soak: a job counts as waiting only while the workers are looked at

Cause: the check itself was late. It looks every 50 ms and reports after 3 s, so a report of 4.56 s means a look that came 1.5 s late; the logs of all three instances have gaps of 1.5 to 3.3 s that end in the same half second. A task of 0.25 s may start and end unseen in such a gap, so the reports say nothing.

Change: a wait is counted anew after a look that came later than a task runs. Steps that wait for ever are still reported; the bound of 3 s stays.

--- a/internal/tool/soak/waits.go
+++ b/internal/tool/soak/waits.go
@@ -22,7 +22,9 @@
 	world *world
 	// waiting are the jobs, with the boot time since which each waits with room.
 	waiting map[*job]time.Duration
-	broken  []string
+	// sampledAt is the boot time of the last look at the workers.
+	sampledAt time.Duration
+	broken    []string
 }
 
 // newWaitCheck returns a check of the jobs that must complete.
@@ -50,6 +52,9 @@
 
 // sample notes since when each job waits, and the violations.
 func (c *waitCheck) sample(now time.Duration) {
+	// A task may have run unseen since a look that is longer ago than it runs.
+	unseen := now-c.sampledAt > runTime
+	c.sampledAt = now
 	running := make(map[string]bool)
 	free := make(map[int]int)
 	for i := range c.world.toWorker {
@@ -69,7 +74,7 @@
 		switch {
 		case done >= one.steps*one.tasks:
 			delete(c.waiting, one)
-		case running[one.id] || now < c.world.calmFrom+calmLead || c.room(step, free) < 2*atOnce || since == 0:
+		case unseen || running[one.id] || now < c.world.calmFrom+calmLead || c.room(step, free) < 2*atOnce:
 			c.waiting[one] = now
 		case now-since > waitBound:
 			c.broken = append(c.broken, fmt.Sprintf(
