--- a/internal/process/sched/advice.go
+++ b/internal/process/sched/advice.go
@@ -128,7 +128,7 @@
 	}
 	advice := stage.advice
 	placed := c.place(now, stage, reservations, func(w *worker) bool { return advice.trusted(w.entry.ID) })
-	if len(placed) == 0 {
+	if len(placed) == 0 && advice.distrusts() {
 		placed = c.place(now, stage, reservations, func(w *worker) bool { return advice.usable(w.entry.ID, now.BootTime) })
 	}
 	if len(placed) > 0 {
--- a/internal/process/sched/ticket.go
+++ b/internal/process/sched/ticket.go
@@ -74,6 +74,16 @@
 	return ok && granted.refusals == 0
 }
 
+// distrusts reports whether an allowed worker is not trusted.
+func (a *advice) distrusts() bool {
+	for worker := range a.tickets {
+		if !a.trusted(worker) {
+			return true
+		}
+	}
+	return false
+}
+
 // keepProbe detaches all attempts with uncertain tickets but one, or that one too while
 // another such start is not answered. A late answer then costs one refused start. The members
 // of a gang stay together.
