drive: a lease from a former owner that is not known is not taken for ended

Cause: link.leaseEnd is what this owner has granted, 0 before its first grant. A worker that answered first and fell silent was therefore "lease_ended" with its first failed call, though the former owner had renewed its lease. Once it has answered, nothing else waits for it: it is no longer inherited.

Change: the first answer starts from the longest lease that the former owner may have granted up to then, on the worker's clock. From that answer on the worker refuses the former owner. A run that has just begun may hold the longest lease that workers accept, from a renewal meant for the run before it. The same covers expireFormer and the drop of workers that leave. "lease ended" is logged with the silence and whether this owner had granted a lease.

--- a/internal/process/drive/link.go
+++ b/internal/process/drive/link.go
@@ -30,8 +30,11 @@
 	// clock is the worker's clock in its last answer, and answeredAt the boot time
 	// at which that answer arrived; both are 0 before the first one.
 	clock, answeredAt time.Duration
-	// leaseEnd is the latest lease end granted so far, on the worker's clock.
+	// leaseEnd is the latest lease end, on the worker's clock, that this owner or a former
+	// one may have granted.
 	leaseEnd time.Duration
+	// granted says that this owner has granted a lease.
+	granted bool
 	// confirmedAt is the boot time at which the last accepted call was sent.
 	confirmedAt time.Duration
 	// acked is the sequence of the last attempt end that is in the store.
@@ -133,22 +136,35 @@
 		return 0
 	}
 	end := l.clock + (now - l.answeredAt) + lease
-	l.leaseEnd = max(l.leaseEnd, end)
+	l.leaseEnd, l.granted = max(l.leaseEnd, end), true
 	return end
 }
 
-// leaseEnded says whether every lease granted so far has certainly ended, even on
-// a slow worker clock.
+// leaseEnded says whether every lease from this owner and former ones has certainly ended,
+// even on a slow worker clock.
 func (l *link) leaseEnded(now time.Duration) bool {
 	return l.answeredAt > 0 && now > l.leaseEndsBy()
 }
 
-// leaseEndsBy is the boot time at which every lease granted so far has certainly
-// ended, for a worker that has answered.
+// leaseEndsBy is the boot time at which every lease from this owner and former ones has
+// certainly ended, for a worker that has answered.
 func (l *link) leaseEndsBy() time.Duration {
 	return l.answeredAt + time.Duration(float64(l.leaseEnd-l.clock)*clockDriftFactor) + transitMargin
 }
 
+// formerLease bounds how long after the first answer of a worker, with its clock in that
+// answer, a lease from a former owner lasts on that clock. The worker refuses the renewals
+// of that owner from then on.
+func (d *Drive) formerLease(l *link, clock time.Duration) time.Duration {
+	if l.restartable() && clock < 2*d.config.MaxLease {
+		// A renewal for the run before it, with times of that run's clock, may have given
+		// it the longest lease.
+		return d.config.MaxLease
+	}
+	// The former owner extrapolated the worker's clock, which may be slow.
+	return time.Duration(float64(d.config.Lease) * clockDriftFactor)
+}
+
 // renewTimeout is how long a renewal sent now may take beyond its wait. It doubles
 // with each failed one, but a worker whose lease ends is noticed in time.
 func (l *link) renewTimeout(now time.Duration) time.Duration {
@@ -274,6 +290,9 @@
 	}
 	if l.leaseEnded(now) && !l.lapsed {
 		l.lapsed = true
+		d.config.Log.WithFields(logrus.Fields{
+			"worker": l.entry.ID, "silent_ms": (now - l.answeredAt).Milliseconds(), "granted": l.granted,
+		}).Info("lease ended")
 		d.handleWorkerLoss(l.entry.ID, "lease_ended", sched.LossSilent)
 		d.journalRelease(l)
 		if listed {
@@ -341,6 +360,9 @@
 		return 0
 	}
 	now := d.now()
+	if l.answeredAt == 0 {
+		l.leaseEnd = max(l.leaseEnd, state.Clock+d.formerLease(l, state.Clock))
+	}
 	l.updateClock(state.Clock, sent, now.BootTime)
 	if state.EndsTruncated && !l.endsTruncated {
 		d.config.Log.WithFields(logrus.Fields{"worker": l.entry.ID, "ends": len(state.Ended), "acked": l.acked}).
