--- a/internal/process/drive/confirm.go
+++ b/internal/process/drive/confirm.go
@@ -12,8 +12,8 @@
 )
 
 const (
-	// confirmWindow is how long an owner may give orders after its claim, or after a
-	// majority of its workers last accepted its fencing token. Three renewals, each
+	// confirmWindow is how long an owner may give orders after the store last showed it as the
+	// owner, or after a majority of its workers last accepted its fencing token. Three renewals, each
 	// of at most renewWait + renewMargin, fit into it.
 	confirmWindow = 2500 * time.Millisecond
 	// fenceTimeout bounds the wait for a read of the fence, below the time that another
@@ -42,9 +42,13 @@
 func (d *Drive) confirm(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, fenceTimeout)
 	defer cancel()
+	calledAt := d.config.BootTime()
 	revision, err := d.fence.Get(ctx)
 	switch {
 	case err == nil && revision == d.config.Claim.Fence.Revision:
+		d.mu.Lock()
+		d.ownedAt = max(d.ownedAt, calledAt)
+		d.mu.Unlock()
 		return nil
 	case err == nil, errors.Is(err, cairnbay.ErrNotFound):
 		d.handleFenced(storeReporter)
@@ -91,14 +95,38 @@
 	return count
 }
 
-// ownershipConfirmed says whether orders may be given: within confirmWindow, the
-// token was claimed or a majority of the workers accepted it. The caller holds
+// ownershipConfirmed says whether orders may be given: within confirmWindow, the store
+// showed no newer owner or a majority of the workers accepted the token. The caller holds
 // the lock.
 func (d *Drive) ownershipConfirmed(now time.Duration) bool {
 	if d.fenced {
 		return false
 	}
-	return now-d.config.Claim.ClaimedAt <= confirmWindow || d.confirmedByMajority(now)
+	return now-d.ownedAt <= confirmWindow || d.confirmedByMajority(now)
+}
+
+// confirmLoaded confirms the ownership after the journal was read late. The first renewals
+// would extend no lease otherwise, and the leases from the former owner would run out while
+// this one waits for a majority. Without an answer of the store it goes on.
+func (d *Drive) confirmLoaded() {
+	if d.config.BootTime()-d.config.Claim.ClaimedAt <= confirmWindow/2 {
+		return
+	}
+	if err := d.confirm(d.ctx); err != nil {
+		d.config.Log.WithError(err).Warn("ownership not confirmed after the journal was read")
+	}
+}
+
+// logUnconfirmed logs that leases are no longer extended, once until they are again; the
+// caller holds the lock.
+func (d *Drive) logUnconfirmed(now time.Duration) {
+	if d.unconfirmed || d.fenced {
+		return
+	}
+	d.unconfirmed = true
+	d.config.Log.WithFields(logrus.Fields{
+		"owned_ms": (now - d.config.Claim.ClaimedAt).Milliseconds(), "confirmed_before_ms": (now - d.ownedAt).Milliseconds(),
+	}).Warn("renewals without a lease: ownership is not confirmed")
 }
 
 // handleFenced stops this owner after the reporter, a worker or the store, has told of a
--- a/internal/process/drive/drive.go
+++ b/internal/process/drive/drive.go
@@ -111,6 +111,10 @@
 	loaded bool
 	// fenced says that a worker or the store has told of a newer owner.
 	fenced bool
+	// ownedAt is the latest boot time at which the shard is known from the store to have had
+	// no newer owner. unconfirmed says that a renewal was sent without a lease since then.
+	ownedAt     time.Duration
+	unconfirmed bool
 	// pendingCancels counts the cancellations being stored.
 	pendingCancels int
 	// compacting says that the journal is being rewritten, rewrittenBytes is the size
@@ -171,6 +175,7 @@
 		core: sched.New(config.Sched), links: make(map[string]*link), lineages: make(map[string]*lineage),
 		listed: make(map[string]cairnbay.WorkerEntry), pending: make(map[string]*pendingSubmission), recordsStored: make(chan struct{}),
 		inherited: make(map[string]struct{}), refusals: make(map[string]struct{}), replaced: make(map[string]replacedWorker), pacer: newPacer(), meters: newMeters(config.Metrics, config.Claim.Shard),
+		ownedAt: config.Claim.ClaimedAt,
 	}
 	d.shareMeters = newShareMeters(d.meters)
 	d.writer = record.New(record.Config{
@@ -243,6 +248,7 @@
 		cancel()
 		if err == nil {
 			d.writer.AddSegments(journal.SegmentKeys, journal.Bytes)
+			d.confirmLoaded()
 			d.replay(journal.Records)
 			return true
 		}
--- a/internal/process/drive/former_lease_test.go
+++ b/internal/process/drive/former_lease_test.go
@@ -38,6 +38,20 @@
 	return state, err
 }
 
+// leasingAgent counts the renewals with a lease of an owner with a token above formerToken.
+type leasingAgent struct {
+	*agent.Fleet
+	formerToken atomic.Uint64
+	leases      atomic.Int32
+}
+
+func (a *leasingAgent) Hold(ctx context.Context, target cairnbay.AgentTarget, order cairnbay.AgentHold) (cairnbay.AgentState, error) {
+	if former := a.formerToken.Load(); former > 0 && order.Token > former && order.LeaseEnd > 0 {
+		a.leases.Add(1)
+	}
+	return a.Fleet.Hold(ctx, target, order)
+}
+
 // Guards against tasks that run twice: an owner that has read its journal late, and has
 // granted no lease yet, takes the lease from the former owner for ended when a worker falls
 // silent after its first answer.
@@ -80,3 +94,22 @@
 	c.store.SetDown(false)
 	return next
 }
+
+// Guards against leases that run out while the next owner, which has read its journal late,
+// waits for a majority of the workers.
+var _ = It("an owner that has read its journal late extends leases before a majority of the workers has answered", func() {
+	c := newCluster(3)
+	leasing := &leasingAgent{Fleet: c.fleet}
+	c.agent = leasing
+	former := c.startOwner()
+	c.accept(former, "j")
+	Eventually(jobState(former, "j"), "10s").Should(Equal(cairnbay.WorkflowCompleted))
+	former.Close()
+	leasing.formerToken.Store(uint64(c.fence.Revision))
+	for _, id := range c.workers[1:] {
+		c.fleet.Cut(id, true)
+	}
+	next := startOwnerInOutage(c)
+	DeferCleanup(next.Close)
+	Eventually(leasing.leases.Load, "2s", "10ms").ShouldNot(BeZero())
+})
--- a/internal/process/drive/link.go
+++ b/internal/process/drive/link.go
@@ -229,7 +229,13 @@
 	// A renewal without an answer may have extended the lease. Renewals of a silent worker
 	// stop, so that its lease is known to end; those of a draining one that is no longer
 	// listed stop after the first failure.
-	if d.ownershipConfirmed(sent) && (l.failures == 0 || sent-l.answeredAt <= maxRenewSilence && !d.leaving(l)) {
+	confirmed := d.ownershipConfirmed(sent)
+	if confirmed {
+		d.unconfirmed = false
+	} else {
+		d.logUnconfirmed(sent)
+	}
+	if confirmed && (l.failures == 0 || sent-l.answeredAt <= maxRenewSilence && !d.leaving(l)) {
 		order.LeaseEnd = l.grantLease(sent, d.config.Lease)
 	}
 	if l.answeredAt == 0 || l.failures > 0 {
