sched, gate: the memory for jobs is bounded before they are stored

Cause: nothing bounded what a submission costs. Admit looks at the work ahead of a job only, and each task, step and occurrence is created at once.

Sums of sizes and run times of one job stay within 64 bits. Over MaxJobFootprint (16 MB) the verdict is invalid, and callers get 400 with the reason; with more for all jobs, those being stored included, than an eighth of the instance's memory they get 503. Jobs that have ended are reduced to their identity at once, as after a change of owner, so that cancelled ones do not add up. - Replay: occurrences are created as far as there is room (three tenths of the memory). A job beyond that is kept with its records and logged; it can be cancelled, and starts once there is room.

--- a/internal/process/drive/drive.go
+++ b/internal/process/drive/drive.go
@@ -318,9 +318,12 @@
 	}
 	d.setWorkspaces()
 	d.loaded = true
+	if held := d.core.HeldBack(now); len(held) > 0 {
+		d.config.Log.WithFields(logrus.Fields{"jobs": len(held), "first": held[0]}).Error("not enough memory for the tasks of all accepted jobs")
+	}
 	counts := d.core.Counts()
 	d.config.Log.WithFields(logrus.Fields{
-		"records": len(records), "jobs": counts.Jobs, "workers": len(workers),
+		"records": len(records), "jobs": counts.Jobs, "workers": len(workers), "jobs_kb": counts.MemoryUsed >> 10,
 		"token": d.config.Claim.Token, "generation": d.config.Claim.Generation,
 		"took_ms": (d.config.BootTime() - d.config.Claim.ClaimedAt).Milliseconds(),
 	}).Info("owner started")
--- a/internal/process/drive/submit.go
+++ b/internal/process/drive/submit.go
@@ -9,6 +9,7 @@
 
 	"cairnbay"
 	cairnbayv1 "cairnbay/gen/cairnbay/v1"
+	"cairnbay/internal/process/sched"
 )
 
 // Reasons for a refusal that come from the state of the owner, not of the queue.
@@ -38,9 +39,9 @@
 
 // Verdict is the answer to a submission.
 type Verdict struct {
-	// Kind is accepted, refused, uncertain, not_owner, conflict or moved.
+	// Kind is accepted, refused, uncertain, not_owner, invalid, conflict or moved.
 	Kind cairnbayv1.SubmitVerdict
-	// Reason says why a submission was refused or is uncertain; empty otherwise.
+	// Reason says why a submission was refused, is invalid or uncertain; empty otherwise.
 	Reason string
 	// RetryAfter is the minimum wait before a refused submission is repeated.
 	RetryAfter time.Duration
@@ -72,6 +73,8 @@
 	// workspace and queue are those of the workflow.
 	workspace string
 	queue     cairnbay.QueuePath
+	// footprint is that of the workflow, see sched.Footprint.
+	footprint int64
 	withdrawn bool
 }
 
@@ -161,19 +164,27 @@
 		refused.Reason, refused.RetryAfter = reasonOverloaded, d.late.retryAfter()
 		return refused, nil
 	}
+	footprint := int64(0)
+	for _, pending := range d.pending {
+		footprint += pending.footprint
+	}
+	d.core.SetPending(footprint)
 	admission := d.core.Admit(now, workflow)
 	if !admission.Accept {
 		refused.Reason, refused.RetryAfter = admission.Reason, admission.RetryAfter
 		if admission.Detail != "" {
 			refused.Reason += reasonSeparator + admission.Detail
 		}
+		if admission.Invalid {
+			refused.Kind = cairnbayv1.SubmitVerdict_SUBMIT_VERDICT_INVALID
+		}
 		refused.Surplus, refused.Wait = admission.Surplus, admission.ExpectedWait
 		return refused, nil
 	}
 	if workflow.AcceptedUnixMS == 0 {
 		workflow.AcceptedUnixMS = now.UnixMS
 	}
-	pending := &pendingSubmission{done: make(chan struct{}), workspace: workflow.Workspace, queue: workflow.Queue.Path()}
+	pending := &pendingSubmission{done: make(chan struct{}), workspace: workflow.Workspace, queue: workflow.Queue.Path(), footprint: sched.Footprint(&workflow)}
 	d.pending[workflow.ID] = pending
 	d.writer.TryAppend([]*cairnbayv1.WorkRecord{{Accepted: EncodeWorkflow(&workflow)}}, func(err error) {
 		d.mu.Lock()
--- a/internal/process/sched/accept.go
+++ b/internal/process/sched/accept.go
@@ -14,8 +14,9 @@
 	}
 	accepted := &job{
 		workflow: workflow, workspace: c.workspace(workflow.Workspace), group: c.group(workflow.Workspace), inherited: inherited, acceptedAt: now.BootTime,
-		stages: make(map[stageKey]*stage),
+		stages: make(map[stageKey]*stage), memory: &c.memory,
 	}
+	accepted.account(jobFootprint + int64(len(workflow.Payload)))
 	if accepted.workspace != nil && accepted.workspace.seenAt == 0 {
 		accepted.workspace.seenAt = now.BootTime
 	}
--- a/internal/process/sched/admit.go
+++ b/internal/process/sched/admit.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"fmt"
 	"time"
 
 	"cairnbay"
@@ -12,6 +13,10 @@
 	ReasonNoWorkers = "no_workers"
 	// ReasonNeverFits is for a job with a step that no empty worker can run.
 	ReasonNeverFits = "never_fits"
+	// ReasonJobTooLarge is for a job whose Footprint exceeds MaxJobFootprint.
+	ReasonJobTooLarge = "job_too_large"
+	// ReasonMemory is for an owner that has no memory left for the job.
+	ReasonMemory = "owner_memory"
 	// ReasonQueueTooLong is for an expected wait beyond the slack.
 	ReasonQueueTooLong = "queue_too_long"
 )
@@ -19,7 +24,9 @@
 // Admission is the decision on a submission.
 type Admission struct {
 	Accept bool
-	Reason string
+	// Invalid is set for a job that no owner accepts at any time.
+	Invalid bool
+	Reason  string
 	// Detail names what Reason is about, empty for most.
 	Detail string
 	// RetryAfter is the time until the caller should submit again; set only on
@@ -51,6 +58,15 @@
 // only miss their objective are accepted, since late stages are placed last;
 // refusing them left workers idle between gangs.
 func (c *Core) Admit(now Moment, workflow cairnbay.Workflow) Admission {
+	footprint := Footprint(&workflow)
+	if footprint > MaxJobFootprint {
+		return Admission{
+			Invalid: true, Reason: ReasonJobTooLarge, Detail: fmt.Sprintf("needs %d MB, at most %d MB", toMB(footprint), MaxJobFootprint>>20),
+		}
+	}
+	if !c.memory.admits(footprint) {
+		return Admission{Reason: ReasonMemory, RetryAfter: unrunnableRetryAfter}
+	}
 	capacity, runnable := c.classCapacity(workflow.Steps)
 	if capacity.IsZero() {
 		return Admission{Reason: ReasonNoWorkers, RetryAfter: unrunnableRetryAfter}
--- a/internal/process/sched/job.go
+++ b/internal/process/sched/job.go
@@ -43,6 +43,13 @@
 	attempts int
 	// createdOccurrences is the number of occurrences whose stages exist.
 	createdOccurrences int
+	// memory accounts for footprint, what the job takes of it.
+	memory    *memory
+	footprint int64
+	// unapplied are the records read from the store whose occurrence there was no room for.
+	unapplied []Record
+	// released says that the job has ended for good and only its identity is kept.
+	released bool
 }
 
 type stageKey struct {
@@ -147,18 +154,31 @@
 
 // stageAt returns the stage of an occurrence and creates the stages up to that
 // occurrence where they are missing. It returns nil for a step or an occurrence
-// that the workflow does not have.
+// that the workflow does not have, or that there is no room for.
 func (j *job) stageAt(occurrence, step int) *stage {
-	if occurrence < 0 || occurrence >= max(j.workflow.Occurrences, 1) || step < 0 || step >= len(j.workflow.Steps) {
+	if !j.has(occurrence, step) {
 		return nil
 	}
 	for j.createdOccurrences <= occurrence {
-		j.addOccurrence()
+		if !j.addOccurrence() {
+			return nil
+		}
 	}
 	return j.stages[stageKey{occurrence, step}]
 }
 
-func (j *job) addOccurrence() {
+// has reports whether the workflow has a step of an occurrence that matters.
+func (j *job) has(occurrence, step int) bool {
+	return !j.released && occurrence >= 0 && occurrence < max(j.workflow.Occurrences, 1) && step >= 0 && step < len(j.workflow.Steps)
+}
+
+// addOccurrence creates the stages of the next occurrence; false if there is no room.
+func (j *job) addOccurrence() bool {
+	footprint := occurrenceFootprint(&j.workflow)
+	if !j.memory.hasRoomFor(footprint) {
+		return false
+	}
+	j.account(footprint)
 	for step := range j.workflow.Steps {
 		spec := &j.workflow.Steps[step]
 		added := &stage{
@@ -172,6 +192,24 @@
 		j.stages[added.key] = added
 	}
 	j.createdOccurrences++
+	return true
+}
+
+// account adds to the footprint of the job.
+func (j *job) account(footprint int64) {
+	j.memory.used += footprint
+	j.footprint += footprint
+}
+
+// release drops all but the identity of a job that has ended and of which nothing runs or
+// is being stored.
+func (j *job) release() {
+	if j.released {
+		return
+	}
+	j.released = true
+	j.stages, j.unapplied, j.workflow.Payload = nil, nil, ""
+	j.account(jobFootprint - j.footprint)
 }
 
 // endIfComplete ends the job once every stage of every occurrence is done.
--- a/internal/process/sched/plan.go
+++ b/internal/process/sched/plan.go
@@ -105,23 +105,41 @@
 	return actions
 }
 
-// createDueOccurrences creates the stages of the occurrences that are due.
+// createDueOccurrences creates the stages of the occurrences that are due, as far as there
+// is room.
 func (c *Core) createDueOccurrences(now Moment) {
 	for _, job := range c.jobs {
-		total := job.workflow.Occurrences
-		if total == 0 || job.ended {
+		if job.ended {
 			continue
 		}
 		createdBefore := job.createdOccurrences
-		for job.createdOccurrences < total && job.workflow.FirstDueUnixMS+int64(job.createdOccurrences)*job.workflow.IntervalMS <= now.UnixMS {
-			job.addOccurrence()
+		for job.nextDue(now) && job.addOccurrence() {
 		}
 		if job.createdOccurrences > createdBefore {
+			c.applyRecords(now, job)
 			c.updateReadyStages(job)
 		}
 	}
 }
 
+// nextDue reports whether the next occurrence is due. That of a job without occurrences is
+// at once.
+func (j *job) nextDue(now Moment) bool {
+	if j.createdOccurrences >= max(j.workflow.Occurrences, 1) {
+		return false
+	}
+	return j.workflow.Occurrences == 0 || j.workflow.FirstDueUnixMS+int64(j.createdOccurrences)*j.workflow.IntervalMS <= now.UnixMS
+}
+
+// applyRecords replays the records of a job for which there was no room before.
+func (c *Core) applyRecords(now Moment, job *job) {
+	records := job.unapplied
+	job.unapplied = nil
+	for _, record := range records {
+		c.Replay(now, record)
+	}
+}
+
 func (c *Core) planStops(now Moment) (actions []Action) {
 	for _, worker := range c.workers {
 		for _, attempt := range worker.attempts {
--- a/internal/process/sched/result.go
+++ b/internal/process/sched/result.go
@@ -359,6 +359,9 @@
 		if a != nil {
 			c.detach(a)
 		}
+		if stage == nil && job != nil && end.Reason == cairnbay.AgentDone {
+			return job.recordUnappliedDone(end), attemptEnd
+		}
 		return nil, attemptEnd
 	}
 	attemptEnd.JobKnown = true
--- a/internal/process/sched/sched.go
+++ b/internal/process/sched/sched.go
@@ -36,6 +36,8 @@
 	StopTime time.Duration
 	// Learn says which decisions use learned run times.
 	Learn LearnUses
+	// Memory bounds the memory for jobs.
+	Memory MemoryLimits
 }
 
 // Core is the scheduling state of one class. It is not safe for concurrent use.
@@ -44,6 +46,7 @@
 	// uses are those of the configuration, none while the owner is hurried.
 	uses    LearnUses
 	jobs    map[string]*job
+	memory  memory
 	workers map[string]*worker
 	// sortedWorkers holds the workers by ID, so that the same events lead to
 	// the same placements.
@@ -124,6 +127,7 @@
 func New(config Config) *Core {
 	return &Core{
 		config:        config,
+		memory:        memory{limits: config.Memory},
 		uses:          config.Learn,
 		changeCount:   1,
 		startLimit:    math.MaxInt,
@@ -220,7 +224,13 @@
 		return
 	}
 	stage := job.stageAt(record.Task.Occurrence, record.Task.Step)
-	if stage == nil {
+	switch {
+	case stage != nil:
+	case !job.has(record.Task.Occurrence, record.Task.Step):
+		return
+	case record.Kind != RecordGivenUp:
+		job.started = true
+		job.unapplied = append(job.unapplied, record)
 		return
 	}
 	job.started = true
@@ -263,11 +273,13 @@
 type Counts struct {
 	Jobs, Workers, Usable int
 	Waiting, Running      int
+	// MemoryUsed is the sum of the footprints of all jobs, in bytes.
+	MemoryUsed int64
 }
 
 // Counts returns the current figures.
 func (c *Core) Counts() Counts {
-	counts := Counts{Jobs: len(c.jobs), Workers: len(c.workers)}
+	counts := Counts{Jobs: len(c.jobs), Workers: len(c.workers), MemoryUsed: c.memory.used}
 	for _, worker := range c.workers {
 		if worker.usable() {
 			counts.Usable++
@@ -291,10 +303,16 @@
 	return live
 }
 
-// RemoveExpired removes jobs whose retention has passed and returns their IDs.
+// RemoveExpired removes jobs whose retention has passed and returns their IDs. Of those that
+// ended before it keeps the identity.
 func (c *Core) RemoveExpired(now Moment) (removed []string) {
 	for id, job := range c.jobs {
-		if job.ended && job.unwritten == 0 && job.attempts == 0 && now.BootTime-job.endedAt > c.config.Retention {
+		if !job.ended || job.unwritten > 0 || job.attempts > 0 {
+			continue
+		}
+		job.release()
+		if now.BootTime-job.endedAt > c.config.Retention {
+			job.account(-job.footprint)
 			delete(c.jobs, id)
 			removed = append(removed, id)
 		}
@@ -334,6 +352,7 @@
 		for _, stage := range job.stages {
 			record.Records = append(record.Records, stage.snapshot()...)
 		}
+		record.Records = append(record.Records, job.unapplied...)
 		jobs = append(jobs, record)
 	}
 	return jobs
@@ -360,7 +379,7 @@
 			ID: ended.ID, Workspace: ended.Workspace,
 			Queue: cairnbay.Queue{Host: ended.Queue.Host, Prefix: ended.Queue.Prefix},
 		},
-		ended: true, endedAt: now.BootTime,
+		ended: true, endedAt: now.BootTime, memory: &c.memory,
 		cancelled: ended.State == cairnbay.WorkflowCancelled, failed: ended.State == cairnbay.WorkflowFailed,
 	}
 }
--- a/internal/request/gate/gate.go
+++ b/internal/request/gate/gate.go
@@ -361,8 +361,8 @@
 }
 
 // recordOutcome logs the outcome of a request and records its duration. Requests
-// answered with status 400, 401, 404, 405 or 500 are not recorded; refusalLog counts
-// those with 401.
+// answered with status 401, 404, 405 or 500, or 400 because of their form, are not recorded;
+// refusalLog counts those with 401.
 func (g *Gate) recordOutcome(callerReq *callerRequest, status int, outcome string) {
 	g.config.Metrics.GetOrCreateHistogram(fmt.Sprintf("cairnbay_request_seconds{status=%q}", strconv.Itoa(status))).
 		UpdateDuration(callerReq.startedAt)
--- a/internal/request/gate/gate_test.go
+++ b/internal/request/gate/gate_test.go
@@ -36,6 +36,9 @@
 	RunSpecs(t, "gate")
 }
 
+// remoteReason is the reason in the verdicts of the remote owner.
+const remoteReason = "why"
+
 // owner is a stub of a remote instance that owns the classes. Its answers are
 // atomic, since a repeated call may still arrive when a test changes them.
 type owner struct {
@@ -76,7 +79,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	return connect.NewResponse(&cairnbayv1.SubmitWorkflowResponse{
-		Verdict: cairnbayv1.SubmitVerdict(o.verdict.Load()), Reason: "why", RetryAfterMs: 1500,
+		Verdict: cairnbayv1.SubmitVerdict(o.verdict.Load()), Reason: remoteReason, RetryAfterMs: 1500,
 	}), nil
 }
 
@@ -233,6 +236,17 @@
 		Expect(response.Header().Get("Retry-After")).To(Equal("2"))
 	})
 
+	It("responds with 400 and the reason to a job that no owner accepts, also if it may have been delivered", func() {
+		remoteOwner.verdict.Store(int32(cairnbayv1.SubmitVerdict_SUBMIT_VERDICT_INVALID))
+		for _, lost := range []int32{0, 1} {
+			remoteOwner.dropResponses.Store(lost)
+			response := send(http.MethodPost, "/j", "{}")
+			Expect(response.Code).To(Equal(http.StatusBadRequest))
+			Expect(response.Header().Get("Retry-After")).To(BeEmpty())
+			Expect(response.Body.String()).To(ContainSubstring(remoteReason))
+		}
+	})
+
 	It("submits a job of a divided class always to the same shard", func() {
 		used := make(map[string]bool)
 		for i := range 40 {
--- a/internal/request/gate/submit.go
+++ b/internal/request/gate/submit.go
@@ -39,6 +39,10 @@
 		verdict, err = g.submitAll(ctx, workflow, callerReq)
 	}
 	switch {
+	case verdict.Kind == cairnbayv1.SubmitVerdict_SUBMIT_VERDICT_INVALID:
+		// The owner has no job of that ID, and no owner accepts this one.
+		g.recordOutcome(callerReq, http.StatusBadRequest, verdict.Reason)
+		http.Error(writer, verdict.Reason, http.StatusBadRequest)
 	case callerReq.maybeDelivered && verdict.Kind != cairnbayv1.SubmitVerdict_SUBMIT_VERDICT_ACCEPTED,
 		verdict.Kind == cairnbayv1.SubmitVerdict_SUBMIT_VERDICT_UNCERTAIN:
 		g.recordOutcome(callerReq, http.StatusGatewayTimeout, "uncertain")
--- a/internal/tool/serve/node.go
+++ b/internal/tool/serve/node.go
@@ -51,8 +51,22 @@
 	logLines = 8192
 	// memoryShare of the instance's memory is what the collector aims at.
 	memoryShare = 0.7
+	// admitShare and holdShare of the instance's memory are for the jobs of each shard that
+	// it owns: up to the first jobs are admitted, up to the second those of former owners
+	// are taken over. An instance may own several shards.
+	admitShare = 0.125
+	holdShare  = 0.3
 )
 
+// memoryLimits returns the limits for the jobs of a shard on an instance with that much
+// memory, in bytes. Any owner admits a job of the largest size.
+func memoryLimits(memory int64) sched.MemoryLimits {
+	return sched.MemoryLimits{
+		Admit: max(int64(float64(memory)*admitShare), sched.MaxJobFootprint),
+		Hold:  max(int64(float64(memory)*holdShare), 2*sched.MaxJobFootprint),
+	}
+}
+
 // NodeCommand runs one instance on the users' platform.
 func NodeCommand() shell.Command {
 	return shell.Command{
@@ -121,6 +135,7 @@
 		Sched: sched.Config{
 			CrossRackFactor: settings.CrossRackFactor,
 			Retention:       settings.StatusRetention, StopTime: settings.StopTime, Learn: uses,
+			Memory: memoryLimits(settings.MemoryMB << 20),
 		},
 		Platform: adapters(settings), Clock: clock, Log: log, Metrics: set,
 		MemberClient: client(),
--- a/validate.go
+++ b/validate.go
@@ -1,8 +1,10 @@
 package cairnbay
 
 import (
+	"math"
 	"net"
 	"strconv"
+	"time"
 
 	"github.com/juju/errors"
 )
@@ -32,6 +34,67 @@
 	return errors.Annotatef(i.Capacity.validate(), "instance %s", i.ID)
 }
 
+// Limits of the fields of a workflow, so that they fit into the journal's form and sums of
+// them into 64 bits.
+const (
+	maxWorkflowTime = 365 * 24 * time.Hour
+	maxDueUnixMS    = 1 << 42
+)
+
+// Validate checks a workflow from a caller. Errors: ErrInvalid for a number below 0 or above
+// its limit, for a step without tasks, and for one after itself or a later one.
+func (w *Workflow) Validate() error {
+	if err := validateNumbers(
+		number{"occurrences", int64(w.Occurrences), math.MaxInt32}, number{"first due time", w.FirstDueUnixMS, maxDueUnixMS},
+		number{"interval", w.IntervalMS, maxWorkflowTime.Milliseconds()},
+	); err != nil {
+		return errors.Annotatef(err, "job %s", w.ID)
+	}
+	if len(w.Steps) == 0 {
+		return errors.Annotatef(ErrInvalid, "job %s has no steps", w.ID)
+	}
+	for index := range w.Steps {
+		if err := w.Steps[index].validate(index); err != nil {
+			return errors.Annotatef(err, "job %s: step %d", w.ID, index)
+		}
+	}
+	return nil
+}
+
+func (s *WorkflowStep) validate(index int) error {
+	if s.Tasks == 0 {
+		return errors.Annotate(ErrInvalid, "no tasks")
+	}
+	for _, earlier := range s.After {
+		if earlier < 0 || earlier >= index {
+			return errors.Annotatef(ErrInvalid, "comes after step %d", earlier)
+		}
+	}
+	if err := s.Size.validate(); err != nil {
+		return err
+	}
+	return validateNumbers(
+		number{"tasks", int64(s.Tasks), math.MaxInt32}, number{"tasks on a worker", int64(s.MaxPerWorker), math.MaxInt32},
+		number{"unavailable tasks", int64(s.DisruptionBudget), math.MaxInt32},
+		number{"run time", int64(s.RunTime), int64(maxWorkflowTime)}, number{"tail target", int64(s.TailTarget), int64(maxWorkflowTime)},
+	)
+}
+
+// number is a field and the largest value that it may have.
+type number struct {
+	name         string
+	value, limit int64
+}
+
+func validateNumbers(numbers ...number) error {
+	for _, checked := range numbers {
+		if checked.value < 0 || checked.value > checked.limit {
+			return errors.Annotatef(ErrInvalid, "%s: %d is not between 0 and %d", checked.name, checked.value, checked.limit)
+		}
+	}
+	return nil
+}
+
 func (r Resources) validate() error {
 	for _, amount := range r.Values() {
 		if amount < 0 || amount > maxAmount {
