drive: a stop does not extend the lease that its worker is assumed to have

Cause: prepareOrder took the lease end for each order and raised link.leaseEnd, for stops too, which carry no lease. Each stop sent to the silent worker put off its loss by up to a lease.

Change: only prepareStart grants a lease.

--- a/internal/process/drive/orders.go
+++ b/internal/process/drive/orders.go
@@ -29,7 +29,8 @@
 // delivery is what an order takes from the link to its worker when it is sent.
 type delivery struct {
 	link *link
-	// sent is the boot time, leaseEnd the end of the lease on the worker's clock.
+	// sent is the boot time, leaseEnd the end of the lease on the worker's clock; 0 for an
+	// order that grants none.
 	sent, leaseEnd time.Duration
 	token          uint64
 }
@@ -50,6 +51,7 @@
 	if !ok {
 		return delivery{}, cairnbay.ErrOverloaded
 	}
+	sending.leaseEnd = sending.link.grantLease(sending.sent, d.config.Lease)
 	return sending, nil
 }
 
@@ -60,15 +62,15 @@
 	return d.prepareOrder(action.Target.Worker)
 }
 
-// prepareOrder returns the delivery of an order sent to a worker now; false if no order
-// may be sent. The caller holds the lock.
+// prepareOrder returns the delivery of an order without a lease that is sent to a worker
+// now; false if no order may be sent. The caller holds the lock.
 func (d *Drive) prepareOrder(worker string) (delivery, bool) {
 	l := d.links[worker]
 	sent := d.config.BootTime()
 	if l == nil || l.answeredAt == 0 || !d.ownershipConfirmed(sent) {
 		return delivery{}, false
 	}
-	return delivery{l, sent, l.grantLease(sent, d.config.Lease), l.lineage.token}, true
+	return delivery{link: l, sent: sent, token: l.lineage.token}, true
 }
 
 // handleAnswer stores the worker's clock from the answer to an order, and fences
