platform: refuse jobs with an ID of more than 256 bytes

Each record of a task repeats the job's ID, and nothing bounded it but the HTTP server.

Change: Workflow.Validate limits it, callers get 400.

--- a/validate.go
+++ b/validate.go
@@ -39,11 +39,17 @@
 const (
 	maxWorkflowTime = 365 * 24 * time.Hour
 	maxDueUnixMS    = 1 << 42
+	// maxIDBytes bounds the ID of a job, which each record of its tasks repeats.
+	maxIDBytes = 256
 )
 
-// Validate checks a workflow from a caller. Errors: ErrInvalid for a number below 0 or above
-// its limit, for a step without tasks, and for one after itself or a later one.
+// Validate checks a workflow from a caller. Errors: ErrInvalid for an ID of more than 256
+// bytes, for a number below 0 or above its limit, for a step without tasks, and for one after
+// itself or a later one.
 func (w *Workflow) Validate() error {
+	if len(w.ID) > maxIDBytes {
+		return errors.Annotatef(ErrInvalid, "job ID of %d bytes, at most %d", len(w.ID), maxIDBytes)
+	}
 	if err := validateNumbers(
 		number{"occurrences", int64(w.Occurrences), math.MaxInt32}, number{"first due time", w.FirstDueUnixMS, maxDueUnixMS},
 		number{"interval", w.IntervalMS, maxWorkflowTime.Milliseconds()},
