serve: any next owner can hold the jobs that another instance admits

Instances differ in memory, and an owner on a large one could admit more than a small one takes over. The limit of admission is capped below the least limit of holding.

--- a/internal/tool/serve/node.go
+++ b/internal/tool/serve/node.go
@@ -56,14 +56,18 @@
 	// are taken over. An instance may own several shards.
 	admitShare = 0.125
 	holdShare  = 0.3
+	// maxAdmitted bounds the first, in bytes, and is the least of the second, so that any
+	// next owner can hold what any other has admitted.
+	maxAdmitted = 40 << 20
 )
 
 // memoryLimits returns the limits for the jobs of a shard on an instance with that much
 // memory, in bytes. Any owner admits a job of the largest size.
 func memoryLimits(memory int64) sched.MemoryLimits {
+	admitted := max(int64(float64(memory)*admitShare), sched.MaxJobFootprint)
 	return sched.MemoryLimits{
-		Admit: max(int64(float64(memory)*admitShare), sched.MaxJobFootprint),
-		Hold:  max(int64(float64(memory)*holdShare), 2*sched.MaxJobFootprint),
+		Admit: min(admitted, maxAdmitted),
+		Hold:  max(int64(float64(memory)*holdShare), maxAdmitted),
 	}
 }
 
