sched: report jobs as held back only for want of memory, and record a repeated end once

A job with due occurrences was logged as held back by each new owner, before its first plan; the end of a held job's task was stored again with each renewal until it was acknowledged.

Evidence: one new spec and one new check of sched's footprint_test.go; both pass.

--- a/internal/process/drive/confirm.go
+++ b/internal/process/drive/confirm.go
@@ -13,8 +13,8 @@
 
 const (
 	// confirmWindow is how long an owner may give orders after the store last showed it as the
-	// owner, or after a majority of its workers last accepted its fencing token. Three renewals, each
-	// of at most renewWait + renewMargin, fit into it.
+	// owner, or after a majority of its workers last accepted its fencing token. Three
+	// renewals, each of at most renewWait + renewMargin, fit into it.
 	confirmWindow = 2500 * time.Millisecond
 	// fenceTimeout bounds the wait for a read of the fence, below the time that another
 	// instance waits for an answer of this one. The reads begin fenceInterval apart at
--- a/internal/process/drive/drive.go
+++ b/internal/process/drive/drive.go
@@ -112,7 +112,8 @@
 	// fenced says that a worker or the store has told of a newer owner.
 	fenced bool
 	// ownedAt is the latest boot time at which the shard is known from the store to have had
-	// no newer owner. unconfirmed says that a renewal was sent without a lease since then.
+	// no newer owner. unconfirmed says that the last renewal was sent without a confirmed
+	// ownership.
 	ownedAt     time.Duration
 	unconfirmed bool
 	// pendingCancels counts the cancellations being stored.
--- a/internal/process/sched/footprint.go
+++ b/internal/process/sched/footprint.go
@@ -77,7 +77,7 @@
 }
 
 // recordUnappliedDone returns the record of a task that is done, of an occurrence that there
-// is no room for; nil if the job does not have the task.
+// is no room for; nil if the job does not have the task or the record exists.
 func (j *job) recordUnappliedDone(end cairnbay.AgentEnd) []Record {
 	if !j.has(end.Task.Occurrence, end.Task.Step) {
 		return nil
@@ -86,6 +86,10 @@
 	if j.workflow.Steps[end.Task.Step].Gang {
 		record.Task.Index = wholeGang
 	}
+	// The worker repeats the end until it is acknowledged.
+	if slices.Contains(j.unapplied, record) {
+		return nil
+	}
 	j.started = true
 	j.unapplied = append(j.unapplied, record)
 	j.unwritten++
@@ -95,7 +99,7 @@
 // HeldBack returns the IDs of the jobs with a due occurrence that there is no room for.
 func (c *Core) HeldBack(now Moment) (ids []string) {
 	for id, job := range c.jobs {
-		if !job.ended && job.nextDue(now) {
+		if !job.ended && job.nextDue(now) && !job.memory.hasRoomFor(occurrenceFootprint(&job.workflow)) {
 			ids = append(ids, id)
 		}
 	}
--- a/internal/process/sched/footprint_test.go
+++ b/internal/process/sched/footprint_test.go
@@ -108,6 +108,9 @@
 			Expect(core.State("large")).To(Equal(cairnbay.WorkflowRunning))
 			Expect(startsOf("small")).To(Equal(1))
 			Expect(result.Records).To(HaveLen(1))
+			Expect(core.HandleHold(now, "w", now.BootTime, cairnbay.AgentState{
+				Ended: []cairnbay.AgentEnd{end(1, task("large", 8), 2, cairnbay.AgentDone)},
+			}).Records).To(BeEmpty(), "the repeated end")
 			for _, record := range core.Snapshot() {
 				if record.Workflow.ID == "large" {
 					Expect(record.Records).To(ConsistOf(done, result.Records[0]))
@@ -137,6 +140,13 @@
 		Expect(core.HeldBack(now)).To(BeEmpty())
 	})
 
+	It("does not hold a repeated job back that there is room for", func() {
+		workflow := tasks("j", 1)
+		workflow.Occurrences, workflow.IntervalMS = 10, 1
+		core.Accept(now, workflow, true)
+		Expect(core.HeldBack(now)).To(BeEmpty())
+	})
+
 	It("creates the occurrences of a job from the journal as far as there is room", func() {
 		workflow := tasks("j", 1000)
 		workflow.Occurrences, workflow.IntervalMS = math.MaxInt32, 1
