--- a/internal/process/drive/bench_test.go
+++ b/internal/process/drive/bench_test.go
@@ -135,7 +135,7 @@
 			Fence: cairnbay.Expectation{Key: "generation", Revision: revision},
 		},
 		Store: backend, Agent: platform.NewAgent(&net.Dialer{}, time.Minute), Clock: clock, BootTime: timer.Boot, Log: logger.WithField("bench", true),
-		Lease: 5 * time.Second, EntryTTL: 4500 * time.Millisecond, AdviceLimits: func() (int, int) { return 4, 4 },
+		Lease: 5 * time.Second, AdviceLimits: func() (int, int) { return 4, 4 },
 		MaxSegments: 2000, MaxGrowth: 1 << 20, OnFenced: func() {},
 		Sched: sched.Config{Retention: time.Minute, StopTime: 200 * time.Millisecond},
 	})
--- a/internal/process/drive/drive.go
+++ b/internal/process/drive/drive.go
@@ -52,9 +52,6 @@
 	Lease time.Duration
 	// MaxLease is the longest lease that a worker accepts.
 	MaxLease time.Duration
-	// EntryTTL is how long a worker stays on the platform's list after its last
-	// contact with the platform.
-	EntryTTL time.Duration
 	// Workspaces returns the terms of the workspaces at the start; later changes come with
 	// Edit. nil if the configuration has none. OnQuotaHeld is called after a plan that left
 	// work out because of its workspace's part, and must not block; nil for none.
--- a/internal/process/drive/drive_test.go
+++ b/internal/process/drive/drive_test.go
@@ -106,8 +106,8 @@
 	}, "10s").Should(Succeed())
 	c.fence = cairnbay.Expectation{Key: "generation", Revision: revision}
 	owner := drive.New(drive.Config{
-		Claim: tenure.Claim{Shard: class, Token: uint64(revision), Generation: c.generation, Fence: c.fence, ClaimedAt: timer.Boot(), AfterRestart: c.afterRestart, StoreHealthyFor: time.Hour},
-		Store: c.store, Agent: cmp.Or[cairnbay.Agent](c.agent, c.fleet), Clock: c.clock, BootTime: timer.Boot, Log: c.log, Lease: c.lease, MaxLease: maxWorkerLease, EntryTTL: 4500 * time.Millisecond,
+		Claim: tenure.Claim{Shard: class, Token: uint64(revision), Generation: c.generation, Fence: c.fence, ClaimedAt: timer.Boot(), AfterRestart: c.afterRestart},
+		Store: c.store, Agent: cmp.Or[cairnbay.Agent](c.agent, c.fleet), Clock: c.clock, BootTime: timer.Boot, Log: c.log, Lease: c.lease, MaxLease: maxWorkerLease,
 		AdviceLimits: func() (int, int) { return 4, 4 }, Advise: c.advise,
 		MaxSegments: c.maxSegments, MaxGrowth: c.maxGrowth, Metrics: c.metrics, OnFenced: func() {},
 		Sched: sched.Config{Retention: time.Minute, StopTime: 50 * time.Millisecond, Learn: c.learn},
--- a/internal/process/drive/quota_test.go
+++ b/internal/process/drive/quota_test.go
@@ -180,7 +180,7 @@
 	}, "10s").Should(Succeed())
 	claim := tenure.Claim{
 		Shard: shard, Token: uint64(next.fence.Revision), Generation: next.generation, Fence: next.fence,
-		ClaimedAt: timer.Boot(), StoreHealthyFor: time.Hour,
+		ClaimedAt: timer.Boot(),
 	}
 	next.quotas = allot.New(allot.Config{
 		Claim: claim, Store: s.store, Workspaces: s.workspaces(), Shards: s.shards, Address: func(shard string) string { return shard },
@@ -189,7 +189,7 @@
 	})
 	next.drive = drive.New(drive.Config{
 		Claim: claim, Store: s.store, Agent: s.fleet, Clock: s.clock, BootTime: timer.Boot, Log: s.log, Lease: lease, MaxLease: maxWorkerLease,
-		EntryTTL: 4500 * time.Millisecond, AdviceLimits: func() (int, int) { return 4, 4 }, MaxSegments: 1000, MaxGrowth: 1 << 20,
+		AdviceLimits: func() (int, int) { return 4, 4 }, MaxSegments: 1000, MaxGrowth: 1 << 20,
 		Sched: sched.Config{Retention: time.Minute, StopTime: 50 * time.Millisecond}, OnFenced: func() {},
 		Workspaces: next.quotas.Terms, OnQuotaHeld: next.quotas.Wake,
 	})
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -66,9 +66,6 @@
 	Lease time.Duration
 	// MaxLease is the longest lease that a worker accepts.
 	MaxLease time.Duration
-	// EntryTTL is how long a worker's entry remains after the worker's last contact
-	// with the platform.
-	EntryTTL time.Duration
 	// StoreLease is how long this instance's keys remain after its last renewal.
 	StoreLease time.Duration
 	// WatchStallTimeout is how long a watch may report nothing before it is
@@ -376,7 +373,7 @@
 		Claim: claim, Store: n.config.Platform.Store, Agent: n.config.Platform.Agent,
 		Routing: n.routing.Load, Advise: advise, AdviceLimits: func() (int, int) { return n.advicePool.Limits(n.position(claim.Shard)) },
 		Clock: n.config.Clock, BootTime: timer.Boot, Log: n.config.Log, Metrics: n.config.Metrics,
-		Sched: n.config.Sched, Lease: n.config.Lease, MaxLease: n.config.MaxLease, EntryTTL: n.config.EntryTTL, MaxSegments: maxSegments, MaxGrowth: maxGrowth,
+		Sched: n.config.Sched, Lease: n.config.Lease, MaxLease: n.config.MaxLease, MaxSegments: maxSegments, MaxGrowth: maxGrowth,
 		OnFenced:   func() { n.background.Go(func() { n.tenure.Abandon(claim) }) },
 		Workspaces: quotas.Terms, OnQuotaHeld: quotas.Wake,
 	})
--- a/internal/process/tenure/claim.go
+++ b/internal/process/tenure/claim.go
@@ -283,7 +283,6 @@
 		t.mu.Unlock()
 		return
 	}
-	claim.StoreHealthyFor = claimedAt - t.storeHealthySince
 	t.claims[shard] = claim
 	t.everClaimed[shard] = true
 	t.setOwner(shard, Owner{t.config.Instance, t.config.Address, claim.Generation, revision})
--- a/internal/process/tenure/tenure.go
+++ b/internal/process/tenure/tenure.go
@@ -84,9 +84,6 @@
 	// AfterRestart reports that the previous owner was an earlier process of this
 	// instance. That process has ended, so it gives no more orders.
 	AfterRestart bool
-	// StoreHealthyFor is the time to ClaimedAt since the lease was last found lapsed or
-	// not renewed, or since the start of the process.
-	StoreHealthyFor time.Duration
 	// ClaimedAt is the time just before the claim was written, on the boot-time
 	// clock.
 	ClaimedAt time.Duration
@@ -154,9 +151,6 @@
 	// everClaimed holds the shards that this process has claimed at least once.
 	everClaimed map[string]bool
 	stopping    bool
-	// storeHealthySince is the time at which the lease was last found lapsed or not
-	// renewed, or of the start, on the boot-time clock.
-	storeHealthySince time.Duration
 	// lease is 0 before the first grant and after Resign.
 	lease cairnbay.LeaseID
 	// renewedAt is when the last renewal or grant was sent, on the boot-time clock. Only
@@ -203,7 +197,7 @@
 		layouts:         make(map[string]layout.Layout),
 		lapsedNodes:     make(map[string]lapsedNode),
 		claimDelayStart: make(map[string]time.Duration), divideDelayStart: make(map[string]time.Duration),
-		claims: make(map[string]Claim), everClaimed: make(map[string]bool), changed: make(chan struct{}), storeHealthySince: config.BootTime(),
+		claims: make(map[string]Claim), everClaimed: make(map[string]bool), changed: make(chan struct{}),
 	}
 	t.mirror = mirror.New(mirror.Config{
 		Store: config.Store, Prefix: livePrefix, Log: config.Log, StallTimeout: config.WatchStallTimeout, OnChange: t.onChange,
@@ -369,11 +363,7 @@
 		}
 		if t.renew(ctx) {
 			lastRenewal = now
-			continue
 		}
-		t.mu.Lock()
-		t.storeHealthySince = t.config.BootTime()
-		t.mu.Unlock()
 	}
 }
 
@@ -419,8 +409,6 @@
 		t.config.Log.WithField("since_renewal_ms", (sent - t.renewedAt).Milliseconds()).Warn("store lease lapsed")
 		t.mu.Lock()
 		t.lapsedAt = t.config.BootTime()
-		// Nothing is known of the store for the time of the pause or outage.
-		t.storeHealthySince = t.lapsedAt
 		t.mu.Unlock()
 	}
 	sent := t.config.BootTime()
--- a/internal/process/tenure/tenure_test.go
+++ b/internal/process/tenure/tenure_test.go
@@ -227,27 +227,6 @@
 		Eventually(first.owns("a"), "5s").Should(BeFalse())
 	})
 
-	// Guards against a list of workers that counts as complete after a pause, though the
-	// store may have been down meanwhile and their entries may have lapsed.
-	It("do not count the store as healthy over a pause in which their lease lapsed", func() {
-		renewals := &heldRenewals{BatchStore: fakeStore.For("second"), begun: make(chan struct{}, 1), release: make(chan struct{})}
-		first := start("first", 1, "a")
-		Eventually(first.owns("a"), "4s").Should(BeTrue())
-		second := startOn(renewals, "second", 1, "a")
-		DeferCleanup(second.Close)
-		Eventually(func() int { return len(second.Nodes()) }, "2s").Should(Equal(2))
-		renewals.armed.Store(true)
-		Eventually(renewals.begun, "2s").Should(Receive())
-		time.Sleep(2 * leaseTTL)
-		resumedAt := timer.Boot()
-		first.Close()
-		renewals.armed.Store(false)
-		close(renewals.release)
-		Eventually(second.owns("a"), "5s").Should(BeTrue())
-		claim, _ := second.claim("a")
-		Expect(claim.StoreHealthyFor).To(BeNumerically("<=", claim.ClaimedAt-resumedAt))
-	})
-
 	It("restore deleted keys without a new claim", func() {
 		first := start("first", 1, "a")
 		DeferCleanup(first.Close)
--- a/internal/request/gate/local_test.go
+++ b/internal/request/gate/local_test.go
@@ -91,7 +91,7 @@
 			Shard: shard, Token: uint64(revision), Generation: l.generations[shard], ClaimedAt: timer.Boot(), Fence: l.fences[shard],
 		},
 		Store: l.store, Agent: l.fleet, Clock: l.clock, BootTime: timer.Boot, Log: l.log,
-		Routing: l.routing.Load, Lease: 2 * time.Second, EntryTTL: 3 * time.Second, MaxSegments: 1000, MaxGrowth: 1 << 20,
+		Routing: l.routing.Load, Lease: 2 * time.Second, MaxSegments: 1000, MaxGrowth: 1 << 20,
 		AdviceLimits: func() (int, int) { return 1, 1 },
 		Sched:        sched.Config{Retention: time.Minute, StopTime: 50 * time.Millisecond},
 		OnFenced:     func() {},
--- a/internal/tool/serve/node.go
+++ b/internal/tool/serve/node.go
@@ -134,7 +134,6 @@
 		MetricsAddress: net.JoinHostPort(settings.IP, strconv.Itoa(settings.MetricsPort)),
 		Cores:          settings.Cores, LinkMbps: settings.LinkMbps, Grace: settings.Grace,
 		Lease: min(workerLease, settings.MaxLease), MaxLease: settings.MaxLease, StoreLease: max(storeLease, settings.StoreMinLease),
-		EntryTTL:          settings.EntryTTL,
 		WatchStallTimeout: watchStall, WatchHold: watchWait,
 		Sched: sched.Config{
 			CrossRackFactor: settings.CrossRackFactor,
