drive: the next owner knows of a worker's longest lease

Cause: a worker that is back under its old ID takes calls for its former life, and cuts their times, which are of another clock, to the longest lease, 10 s. The owner that saw the restart counted with that; the next one did not know.

The next owner waits for as long, silent or not. A life of which another one is known counts alike. The age of a life is not guessed from its clock. Leases have a file of their own. Workers of the stand-in start their clocks where a test says. "lease ended" is logged for inherited workers too, with "long".

Evidence: "counts as running for the lease that a renewal for its former run has given it" was one spec and is a table of four; "under the next owner, which it has answered" and "under its owner after a restart" failed before, 1 of 1 run, and pass.

--- a/internal/fake/agent/agent.go
+++ b/internal/fake/agent/agent.go
@@ -48,6 +48,9 @@
 	// Incarnations says that the workers tell the start of their process, and have the
 	// same name after a crash.
 	Incarnations bool
+	// ClockStart is what a worker's clock shows at the start of a life, by its number from
+	// 1, if the workers tell it; nil for 0.
+	ClockStart func(life int) time.Duration
 	// MaxLease is the longest lease of a worker; 0 for no limit.
 	MaxLease time.Duration
 	// ListedEnds is the number of ends that a worker lists at a time; 0 for all.
@@ -172,6 +175,9 @@
 	if f.config.Incarnations {
 		added.id = cairnbay.IncarnationID(name, bornUnixMS(added.life))
 		added.epoch = f.config.Now()
+		if f.config.ClockStart != nil {
+			added.epoch -= f.config.ClockStart(added.life)
+		}
 	}
 	added.running = make(map[cairnbay.WorkflowTask]run)
 	added.highest = make(map[cairnbay.WorkflowTask]int)
--- a/internal/process/drive/confine.go
+++ b/internal/process/drive/confine.go
@@ -27,6 +27,7 @@
 // workerRecord returns the record of a worker that is used; the caller holds the lock.
 func (d *Drive) workerRecord(l *link) *cairnbayv1.WorkRecord {
 	ref := encodeWorker(l.entry)
+	ref.LongLease = l.longLease
 	if l.confined {
 		ref.Confined = true
 		for _, placed := range d.core.PlacedOn(l.entry.ID) {
--- a/internal/process/drive/inherited.go
+++ b/internal/process/drive/inherited.go
@@ -25,7 +25,8 @@
 	}
 	confined := ref.GetConfined() && d.core.Assume(now, entry.ID, decodePlaced(ref))
 	d.inherited[entry.ID] = inheritance{confined}
-	d.openLink(entry, true).confined = confined
+	l := d.openLink(entry, true)
+	l.confined, l.longLease = confined, ref.GetLongLease()
 }
 
 // resolveInherited removes a worker from the inherited ones after it answered with all
@@ -74,14 +75,19 @@
 		d.formerSilentAt = d.formerSilence(now)
 		return
 	}
-	if now < d.formerSilentAt+d.maxLeaseTime() {
-		return
-	}
 	for id := range d.inherited {
-		if l := d.links[id]; l != nil {
-			if l.endsTruncated {
+		l := d.findLink(id)
+		if now < d.inheritedLeaseEndsBy(l) {
+			continue
+		}
+		if l != nil {
+			if l.endsTruncated && !l.superseded {
 				continue
 			}
+			d.config.Log.WithFields(logrus.Fields{
+				"worker": id, "silent_ms": (now - d.config.Claim.ClaimedAt).Milliseconds(), "granted": false, "long": l.mayHoldLongest(),
+			}).Info("lease ended")
+			l.lapsed = l.lapsed || l.superseded
 			d.journalRelease(l)
 		}
 		d.handleWorkerLoss(id, "inherited_lease_ended", sched.LossSilent)
@@ -105,12 +111,6 @@
 	return 0
 }
 
-// maxLeaseTime is how long after its grant a lease has certainly ended, even on
-// a slow worker clock.
-func (d *Drive) maxLeaseTime() time.Duration {
-	return time.Duration(float64(d.config.Lease)*clockDriftFactor) + transitMargin
-}
-
 // journalSettled records, for the next owner, that no owner before this one can
 // give orders any more; the caller holds the lock.
 func (d *Drive) journalSettled() {
--- /dev/null
+++ b/internal/process/drive/leases.go
@@ -0,0 +1,82 @@
+package drive
+
+import (
+	"time"
+
+	cairnbayv1 "cairnbay/gen/cairnbay/v1"
+)
+
+// grantLease returns the lease end, on the worker's clock, of an order sent now;
+// 0 while the worker's clock is not known.
+func (l *link) grantLease(now, lease time.Duration) time.Duration {
+	if l.answeredAt == 0 {
+		return 0
+	}
+	end := l.clock + (now - l.answeredAt) + lease
+	l.leaseEnd, l.granted = max(l.leaseEnd, end), true
+	return end
+}
+
+// leaseEnded says whether every lease from this owner and former ones has certainly ended,
+// even on a slow worker clock.
+func (l *link) leaseEnded(now time.Duration) bool {
+	return l.answeredAt > 0 && now > l.leaseEndsBy()
+}
+
+// leaseEndsBy is the boot time at which every lease from this owner and former ones has
+// certainly ended, for a worker that has answered.
+func (l *link) leaseEndsBy() time.Duration {
+	return l.answeredAt + time.Duration(float64(l.leaseEnd-l.clock)*clockDriftFactor) + transitMargin
+}
+
+// leaseTime is how long after its grant a lease has certainly ended, even on a slow worker
+// clock.
+func leaseTime(lease time.Duration) time.Duration {
+	return time.Duration(float64(lease)*clockDriftFactor) + transitMargin
+}
+
+// inheritLease starts from the longest lease that a worker may hold from former owners, or
+// from calls for its former runs, when it first answers, with its clock in that answer. It
+// refuses such calls from then on. The caller holds the lock.
+func (d *Drive) inheritLease(l *link, clock time.Duration) {
+	if l.mayHoldLongest() {
+		l.longLeaseEnd = clock + d.config.MaxLease
+		l.leaseEnd = max(l.leaseEnd, l.longLeaseEnd)
+		return
+	}
+	// The former owner extrapolated the worker's clock, which may be slow.
+	l.leaseEnd = max(l.leaseEnd, clock+time.Duration(float64(d.config.Lease)*clockDriftFactor))
+}
+
+// updateLongLease journals, after an answer, whether the worker may hold the longest lease;
+// the caller holds the lock.
+func (d *Drive) updateLongLease(l *link) {
+	if long := l.clock < l.longLeaseEnd; long != l.longLease {
+		d.setLongLease(l, long)
+	}
+}
+
+// setLongLease journals whether a worker may hold the longest lease, so that the next owner
+// waits for that long if the worker does not answer it; the caller holds the lock.
+func (d *Drive) setLongLease(l *link, long bool) {
+	l.longLease = long
+	if l.journaled {
+		d.writer.Append([]*cairnbayv1.WorkRecord{d.workerRecord(l)}, d.logStoreFailure("longest lease"))
+	}
+}
+
+// inheritedLeaseEndsBy is the boot time at which every lease of an inherited worker that has
+// not answered this owner has certainly ended; formerSilentAt must be known. The caller
+// holds the lock.
+func (d *Drive) inheritedLeaseEndsBy(l *link) time.Duration {
+	if l != nil && l.mayHoldLongest() {
+		return d.formerSilentAt + leaseTime(d.config.MaxLease)
+	}
+	return d.formerSilentAt + leaseTime(d.config.Lease)
+}
+
+// mayHoldLongest says whether a worker that has not answered may hold the longest lease, by
+// the journal or because another run of it has ended.
+func (l *link) mayHoldLongest() bool {
+	return l.longLease || l.lineage.restarted()
+}
--- a/internal/process/drive/lineage.go
+++ b/internal/process/drive/lineage.go
@@ -40,6 +40,31 @@
 	return slices.IndexFunc(g.former, func(l *link) bool { return l.entry.ID == id })
 }
 
+// restarted says whether other runs than the current one are known.
+func (g *lineage) restarted() bool {
+	return len(g.former) > 0 || len(g.over) > 0
+}
+
+// find returns the link to a run, nil if it has none.
+func (g *lineage) find(id string) *link {
+	if g.current != nil && g.current.entry.ID == id {
+		return g.current
+	}
+	if index := g.formerIndex(id); index >= 0 {
+		return g.former[index]
+	}
+	return nil
+}
+
+// findLink returns the link to a run of a worker, nil if it has none; the caller holds the
+// lock.
+func (d *Drive) findLink(id string) *link {
+	if known := d.lineages[cairnbay.WorkerName(id)]; known != nil {
+		return known.find(id)
+	}
+	return nil
+}
+
 // end remembers that a run has ended.
 func (g *lineage) end(id string) {
 	if slices.Contains(g.over, id) {
@@ -199,6 +224,7 @@
 			// A call for the former run, with times of its clock, may have given this one
 			// the longest lease.
 			l.leaseEnd = max(l.leaseEnd, l.clock+d.config.MaxLease)
+			l.longLeaseEnd = l.leaseEnd
 		}
 	}
 	l.lineage.former = nil
--- a/internal/process/drive/link.go
+++ b/internal/process/drive/link.go
@@ -33,6 +33,10 @@
 	// leaseEnd is the latest lease end, on the worker's clock, that this owner or a former
 	// one may have granted.
 	leaseEnd time.Duration
+	// longLease says that the journal lists the worker as one that may hold the longest
+	// lease, which ends at longLeaseEnd on its clock; 0 before the first answer.
+	longLease    bool
+	longLeaseEnd time.Duration
 	// granted says that this owner has granted a lease.
 	granted bool
 	// confirmedAt is the boot time at which the last accepted call was sent.
@@ -125,42 +129,6 @@
 	return cairnbay.AgentTarget{Worker: l.entry.ID, Address: l.entry.Address}
 }
 
-// grantLease returns the lease end, on the worker's clock, of an order sent now;
-// 0 while the worker's clock is not known.
-func (l *link) grantLease(now, lease time.Duration) time.Duration {
-	if l.answeredAt == 0 {
-		return 0
-	}
-	end := l.clock + (now - l.answeredAt) + lease
-	l.leaseEnd, l.granted = max(l.leaseEnd, end), true
-	return end
-}
-
-// leaseEnded says whether every lease from this owner and former ones has certainly ended,
-// even on a slow worker clock.
-func (l *link) leaseEnded(now time.Duration) bool {
-	return l.answeredAt > 0 && now > l.leaseEndsBy()
-}
-
-// leaseEndsBy is the boot time at which every lease from this owner and former ones has
-// certainly ended, for a worker that has answered.
-func (l *link) leaseEndsBy() time.Duration {
-	return l.answeredAt + time.Duration(float64(l.leaseEnd-l.clock)*clockDriftFactor) + transitMargin
-}
-
-// formerLease bounds how long after the first answer of a worker, with its clock in that
-// answer, a lease from a former owner lasts on that clock. The worker refuses the renewals
-// of that owner from then on.
-func (d *Drive) formerLease(l *link, clock time.Duration) time.Duration {
-	if l.restartable() && clock < 2*d.config.MaxLease {
-		// A renewal for the run before it, with times of that run's clock, may have given
-		// it the longest lease.
-		return d.config.MaxLease
-	}
-	// The former owner extrapolated the worker's clock, which may be slow.
-	return time.Duration(float64(d.config.Lease) * clockDriftFactor)
-}
-
 // renewTimeout is how long a renewal sent now may take beyond its wait. It doubles
 // with each failed one, but a worker whose lease ends is noticed in time.
 func (l *link) renewTimeout(now time.Duration) time.Duration {
@@ -173,8 +141,8 @@
 
 // updateClock stores the worker's clock from an answer, by which the worker also
 // accepted the token. sent and now are the boot times of the call and of the
-// answer. A clock of 0 changes nothing, nor does one that has gone back: it is that of
-// another run, which an answer to an order does not tell apart.
+// answer. A clock of 0 changes nothing, nor does one that has gone back, in an answer that
+// was overtaken.
 func (l *link) updateClock(clock, sent, now time.Duration) {
 	if clock <= 0 || l.restartable() && clock < l.clock {
 		return
@@ -293,7 +261,7 @@
 	if l.leaseEnded(now) && !l.lapsed {
 		l.lapsed = true
 		d.config.Log.WithFields(logrus.Fields{
-			"worker": l.entry.ID, "silent_ms": (now - l.answeredAt).Milliseconds(), "granted": l.granted,
+			"worker": l.entry.ID, "silent_ms": (now - l.answeredAt).Milliseconds(), "granted": l.granted, "long": l.longLease,
 		}).Info("lease ended")
 		d.handleWorkerLoss(l.entry.ID, "lease_ended", sched.LossSilent)
 		d.journalRelease(l)
@@ -363,7 +331,7 @@
 	}
 	now := d.now()
 	if l.answeredAt == 0 {
-		l.leaseEnd = max(l.leaseEnd, state.Clock+d.formerLease(l, state.Clock))
+		d.inheritLease(l, state.Clock)
 	}
 	l.updateClock(state.Clock, sent, now.BootTime)
 	if state.EndsTruncated && !l.endsTruncated {
@@ -388,6 +356,7 @@
 	delete(d.refusals, l.entry.ID)
 	delete(d.replaced, l.entry.ID)
 	ended, released := d.endFormer(l, state)
+	d.updateLongLease(l)
 	result := d.core.HandleHold(now, l.entry.ID, sent, state)
 	d.logGivenUp()
 	if !state.EndsTruncated {
