drive: what a restarted worker may have started unanswered counts as running for the longest lease

Cause: a worker that has restarted may carry out a start for its former life and be cut off before it answers anybody. The list tells of the new life, but the tasks of the former one were lost when the lease on the former clock had ended (expireFormer, expireInherited), or at once when the new life left the list (dropLineage, by way of the drops as "unlisted" and "left", and after a refused token).

--- a/internal/process/drive/leases.go
+++ b/internal/process/drive/leases.go
@@ -65,6 +65,19 @@
 	}
 }
 
+// extendFormerLease raises the assumed lease of a run after which another one is known: that
+// one may have carried out the last calls for it, and holds the longest lease then, as its
+// clock has nothing to do with theirs. The caller holds the lock.
+func (d *Drive) extendFormerLease(former *link) {
+	if former.answeredAt > 0 {
+		clock := former.clock + (d.config.BootTime() - former.answeredAt)
+		former.leaseEnd = max(former.leaseEnd, clock+d.config.MaxLease)
+	}
+	if !former.longLease {
+		d.setLongLease(former, true)
+	}
+}
+
 // inheritedLeaseEndsBy is the boot time at which every lease of an inherited worker that has
 // not answered this owner has certainly ended; formerSilentAt must be known. The caller
 // holds the lock.
@@ -76,7 +89,19 @@
 }
 
 // mayHoldLongest says whether a worker that has not answered may hold the longest lease, by
-// the journal or because another run of it has ended.
+// the journal or because another run of it is known.
 func (l *link) mayHoldLongest() bool {
 	return l.longLease || l.lineage.restarted()
 }
+
+// formerMayRun says whether tasks may run under a former run of a worker, or on the current
+// one by calls for a former one; the caller holds the lock.
+func (d *Drive) formerMayRun(g *lineage) bool {
+	for _, former := range g.former {
+		_, inherited := d.inherited[former.entry.ID]
+		if inherited || former.answeredAt > 0 && !former.lapsed {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/process/drive/lineage.go
+++ b/internal/process/drive/lineage.go
@@ -122,7 +122,9 @@
 	case l.superseded || l.dropped || token < l.lineage.token:
 		// The worker refused what was meant for a former run.
 	case l.unlisted:
-		d.drop(l, "unlisted")
+		if !d.formerMayRun(l.lineage) {
+			d.drop(l, "unlisted")
+		}
 	default:
 		// A newer owner of this shard has a higher token than any that this one can get.
 		l.lineage.raise = true
@@ -147,6 +149,7 @@
 	g.current = nil
 	g.former = append(g.former, former)
 	former.superseded = true
+	d.extendFormerLease(former)
 	// A run that has never answered has had no orders from this owner.
 	g.raise = g.raise || former.answeredAt > 0
 	delete(d.links, former.entry.ID)
--- a/internal/process/drive/link.go
+++ b/internal/process/drive/link.go
@@ -254,7 +254,8 @@
 	d.expireFormer(l.lineage)
 	entry, listed := d.listed[l.entry.ID]
 	l.departed = d.leaving(l) && l.answeredAt > 0 && now-l.answeredAt > departedTimeout
-	if d.leaving(l) && l.leaseEnded(now) {
+	formerRuns := d.formerMayRun(l.lineage)
+	if d.leaving(l) && l.leaseEnded(now) && !formerRuns {
 		d.drop(l, "left")
 		return 0, false
 	}
@@ -275,7 +276,7 @@
 	if l.unlisted {
 		since = max(since, l.openedAt)
 	}
-	if !listed && !inherited && (l.lapsed || l.answeredAt == 0) && now-since > unlistedTimeout {
+	if !listed && !inherited && !formerRuns && (l.lapsed || l.answeredAt == 0) && now-since > unlistedTimeout {
 		d.drop(l, "unlisted")
 		return 0, false
 	}
--- a/internal/process/drive/long_lease_test.go
+++ b/internal/process/drive/long_lease_test.go
@@ -1,14 +1,60 @@
 package drive_test
 
 import (
+	"context"
+	"sync"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"cairnbay"
+	"cairnbay/internal/process/timer"
 )
 
+// severedAgent delivers no calls to a worker once it is severed, and notes the last start
+// sent there before.
+type severedAgent struct {
+	cairnbay.Agent
+	worker string
+
+	mu      sync.Mutex
+	severed bool
+	start   cairnbay.AgentStart
+}
+
+func (a *severedAgent) sever() cairnbay.AgentStart {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.severed = true
+	return a.start
+}
+
+func (a *severedAgent) refuses(target cairnbay.AgentTarget) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.severed && cairnbay.WorkerName(target.Worker) == a.worker
+}
+
+func (a *severedAgent) Start(ctx context.Context, target cairnbay.AgentTarget, order cairnbay.AgentStart) (time.Duration, error) {
+	if a.refuses(target) {
+		return 0, cairnbay.ErrUnknown
+	}
+	if cairnbay.WorkerName(target.Worker) == a.worker {
+		a.mu.Lock()
+		a.start = order
+		a.mu.Unlock()
+	}
+	return a.Agent.Start(ctx, target, order)
+}
+
+func (a *severedAgent) Hold(ctx context.Context, target cairnbay.AgentTarget, order cairnbay.AgentHold) (cairnbay.AgentState, error) {
+	if a.refuses(target) {
+		return cairnbay.AgentState{}, cairnbay.ErrUnknown
+	}
+	return a.Agent.Hold(ctx, target, order)
+}
+
 // restartOwner replaces the owner by a later process of its instance.
 func (c *restartCluster) restartOwner() {
 	c.afterRestart = true
@@ -69,3 +115,35 @@
 		c.restartOwner()
 	}),
 )
+
+// Guards against tasks that run twice (TWICE): a worker has restarted and has carried out a
+// start for its former run before it was cut off, so that no owner has had an answer of it.
+var _ = DescribeTable("a restarted worker that has never answered counts as running for the lease that a start for its former run has given it",
+	func(disrupt func(c *restartCluster)) {
+		c := newRestartCluster()
+		c.runTime.Store(int64(2 * maxWorkerLease))
+		severed := &severedAgent{Agent: c.agent, worker: "w0"}
+		c.agent = severed
+		c.replaceOwner()
+		c.useOnly("w0")
+		Eventually(func() any { return submit(c.owner, flatJob("j", 1), time.Second) }, "10s", "20ms").Should(Equal(accepted))
+		Eventually(func() any { return c.fleet.Running("w0") }, "5s", "1ms").Should(HaveLen(1))
+		late := severed.sever()
+		c.fleet.Restart("w0", 0, restartSize)
+		c.fleet.StartLate(timer.Boot(), cairnbay.AgentTarget{Worker: "w0"}, late)
+		Expect(c.fleet.Running("w0")).To(HaveLen(1))
+		time.Sleep(restartPause) // The list tells of the restart.
+		disrupt(c)
+		c.useAll()
+		Eventually(c.fleet.Starts, "15s", "10ms").Should(BeNumerically(">", 2))
+		Expect(c.fleet.Broken()).To(BeEmpty())
+	},
+	Entry("under the same owner", func(*restartCluster) {}),
+	Entry("under the same owner, though it is no longer listed", func(c *restartCluster) { c.listElsewhere("w0") }),
+	Entry("under the next owner", (*restartCluster).replaceOwner),
+	Entry("under its owner after a restart", (*restartCluster).restartOwner),
+	Entry("under its owner after a restart, though it is no longer listed", func(c *restartCluster) {
+		c.listElsewhere("w0")
+		c.restartOwner()
+	}),
+)
