drive: an answer to an order from another life does not count for the former one

Cause: a start for a worker's former life is carried out and answered by the next one. Its clock was ignored if it had gone back, and the lease that the start has given it, the longest one, was counted as one of the usual length on the former clock. If the worker was then cut off before a renewal told of the new life, the task started elsewhere while it ran.

Change: an answer whose clock lies behind the expected one by more than a second is of another life, and the longest lease counts from then on. One whose clock is ahead refuses the order as late. Logged as "order answered by another run".

--- a/internal/process/drive/leases.go
+++ b/internal/process/drive/leases.go
@@ -105,3 +105,14 @@
 	}
 	return false
 }
+
+// maxClockError is by how much the clock in an answer may lie behind the expected one, because
+// the worker's clock is slow or answers overtake each other.
+const maxClockError = time.Second
+
+// isOtherRun says whether an answer to an order sent at a boot time is of another run than
+// that of the link. The clock of each run starts anywhere, but one that is ahead refuses the
+// order as late.
+func (l *link) isOtherRun(clock, sent time.Duration) bool {
+	return l.restartable() && l.answeredAt > 0 && clock > 0 && clock+maxClockError < l.clock+(sent-l.answeredAt)
+}
--- a/internal/process/drive/long_lease_test.go
+++ b/internal/process/drive/long_lease_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -147,3 +148,44 @@
 		c.restartOwner()
 	}),
 )
+
+// restartingAgent restarts a worker just before the next start, once armed, and severs it
+// after that start.
+type restartingAgent struct {
+	*severedAgent
+	armed   atomic.Bool
+	restart func()
+}
+
+func (a *restartingAgent) Start(ctx context.Context, target cairnbay.AgentTarget, order cairnbay.AgentStart) (time.Duration, error) {
+	if !a.armed.Swap(false) {
+		return a.severedAgent.Start(ctx, target, order)
+	}
+	a.restart()
+	clock, err := a.Agent.Start(ctx, target, order)
+	a.sever()
+	return clock, err
+}
+
+// Guards against tasks that run twice (TWICE): the next run has answered a start for the
+// former one, and the lease that it has from that start was counted on the former one's clock.
+var _ = It("a restarted worker that has answered nothing but a start for its former run counts as running until its lease has ended",
+	func() {
+		c := newRestartCluster()
+		c.runTime.Store(int64(2 * maxWorkerLease))
+		agent := &restartingAgent{severedAgent: &severedAgent{Agent: c.agent, worker: "w0"}}
+		agent.restart = func() {
+			c.listBorn("w0", c.born("w0"))
+			c.fleet.Restart("w0", 0, restartSize)
+		}
+		c.agent = agent
+		c.replaceOwner()
+		c.useOnly("w0")
+		c.awaitUsable()
+		agent.armed.Store(true)
+		Eventually(func() any { return submit(c.owner, flatJob("j", 1), time.Second) }, "10s", "20ms").Should(Equal(accepted))
+		Eventually(c.fleet.Starts, "5s", "1ms").Should(Equal(1))
+		c.useAll()
+		Eventually(c.fleet.Starts, "15s", "10ms").Should(Equal(2))
+		Expect(c.fleet.Broken()).To(BeEmpty())
+	})
--- a/internal/process/drive/orders.go
+++ b/internal/process/drive/orders.go
@@ -83,8 +83,15 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	// Another run may have answered, whose clock is another.
-	if err == nil && !l.superseded {
+	switch {
+	case err != nil || l.superseded:
+	case l.isOtherRun(clock, order.sent):
+		// The next renewal tells which one it is.
+		d.config.Log.WithFields(logrus.Fields{
+			"worker": l.entry.ID, "clock_ms": clock.Milliseconds(), "expected_ms": (l.clock + order.sent - l.answeredAt).Milliseconds(),
+		}).Info("order answered by another run")
+		d.extendFormerLease(l)
+	default:
 		l.updateClock(clock, order.sent, d.config.BootTime())
 		d.core.HandleAnswer(l.entry.ID, clock)
 	}
