soak: workers that restart and are cut off while their owner is replaced

The stand-ins took calls for a former life, on a clock that began at 0 in each. Clocks of later lives now begin before those of earlier ones, so that such calls are carried out. -recuts restarts a third of the workers under their names, disrupts the owner (kill, SIGTERM, pause, cut from the store, nothing) and cuts these workers off for 9 s, while tasks of 9 s run.

--- a/internal/tool/soak/callers.go
+++ b/internal/tool/soak/callers.go
@@ -109,6 +109,9 @@
 	if c.world.config.pausesOnly() {
 		count = pausedCallers
 	}
+	if c.world.config.Recuts {
+		count = recutCallers
+	}
 	for n := range count {
 		random := rand.New(rand.NewPCG(c.world.config.Seed, uint64(n+2)))
 		c.done.Go(func() {
@@ -130,6 +133,13 @@
 					c.submit(ctx, random, one)
 					continue
 				}
+				if c.world.config.Recuts {
+					if one.steps, one.tasks = 1, 1; number%longShare == 0 {
+						c.world.long.Store(one.id, true)
+					}
+					c.submit(ctx, random, one)
+					continue
+				}
 				if number%gangShare == 0 {
 					one.gang = true
 					one.tasks++
--- a/internal/tool/soak/faults.go
+++ b/internal/tool/soak/faults.go
@@ -48,6 +48,9 @@
 	for w.config.Pauses && ctx.Err() == nil && time.Now().Before(deadline) {
 		fmt.Fprintf(w.config.Out, "%6.2f s  %s\n", time.Since(began).Seconds(), pauseOwner(ctx, w, random))
 	}
+	for w.config.Recuts && ctx.Err() == nil && time.Now().Before(deadline) {
+		fmt.Fprintf(w.config.Out, "%6.2f s  %s\n", time.Since(began).Seconds(), recut(ctx, w, random))
+	}
 	for w.config.Impatient && ctx.Err() == nil && time.Now().Before(deadline) {
 		fmt.Fprintf(w.config.Out, "%6.2f s  %s\n", time.Since(began).Seconds(), pauseBriefly(ctx, w, random))
 	}
--- a/internal/tool/soak/soak.go
+++ b/internal/tool/soak/soak.go
@@ -43,6 +43,9 @@
 	// longer than callers wait, and that callers cancel every job, also one that had no
 	// answer.
 	Impatient bool
+	// Recuts says that the only faults are workers that restart under their names and are cut
+	// off soon after, while their owner is disrupted and long tasks run.
+	Recuts bool
 	// Tickets says that the only faults are instances that pause and answers of the policy
 	// service that are late by more than their tickets last.
 	Tickets bool
@@ -92,6 +95,7 @@
 			flags.BoolVar(&config.OddEntries, "odd-entries", config.OddEntries, "leave malformed entries of other writers among those of the workers")
 			flags.BoolVar(&config.Pauses, "pauses", config.Pauses, "pause the owners in turn, with no other faults, while every job is cancelled")
 			flags.BoolVar(&config.Impatient, "impatient", config.Impatient, "pause any instances in turn, briefly, while callers cancel every job, also one that had no answer")
+			flags.BoolVar(&config.Recuts, "recuts", config.Recuts, "restart workers under their names and cut them off soon after, while the owner is disrupted, with no other faults")
 			flags.BoolVar(&config.Tickets, "tickets", config.Tickets, "pause instances and let answers of the policy service be late by more than their tickets last, with no other faults")
 			flags.IntVar(&config.FirstPort, "port", config.FirstPort, "first `port` of the instances, on loopback")
 			flags.StringVar(&config.Program, "program", "", "`path` of the program under test (default: this one)")
@@ -115,6 +119,9 @@
 				if config.Workspaces < 0 || config.Workspaces == 1 {
 					return errors.Annotatef(shell.ErrUsage, "-workspaces %d: 0 or at least 2", config.Workspaces)
 				}
+				if config.Recuts && (config.Tickets || config.pausesOnly()) {
+					return errors.Annotate(shell.ErrUsage, "-recuts excludes -pauses, -impatient and -tickets")
+				}
 				if config.Program == "" {
 					program, err := os.Executable()
 					if err != nil {
@@ -139,6 +146,7 @@
 		}
 		config.Folder = folder
 	}
+	config.KeepNames = config.KeepNames || config.Recuts
 	w, err := newWorld(config)
 	if err != nil {
 		return errors.Trace(err)
--- a/internal/tool/soak/soak_test.go
+++ b/internal/tool/soak/soak_test.go
@@ -27,25 +27,28 @@
 		Expect(err).NotTo(HaveOccurred(), "%s", out)
 	})
 
-	DescribeTable("finds no broken promise while instances pause",
-		func(length time.Duration, pause func(config *soak.Config)) {
+	DescribeTable("finds no broken promise with one kind of fault",
+		func(length time.Duration, choose func(config *soak.Config)) {
 			config := soak.Defaults()
 			config.Seed, config.Length, config.Program, config.Instances = 2, length, program, 4
 			config.FirstPort, config.Folder = 26_000, GinkgoT().TempDir()
-			pause(&config)
+			choose(&config)
 			var out bytes.Buffer
 			config.Out = &out
 			Expect(soak.Run(context.Background(), config)).To(Succeed(), out.String)
 		},
 		// Guards against 410 for accepted jobs, whose tasks then run although their
 		// cancellation was acknowledged: an owner answers that was replaced while it was paused.
-		Entry("owners, until they are replaced", 20*time.Second, func(config *soak.Config) { config.Pauses = true }),
+		Entry("pauses of owners, until they are replaced", 20*time.Second, func(config *soak.Config) { config.Pauses = true }),
 		// Guards against submissions that are accepted after their cancellation was
 		// acknowledged.
-		Entry("any, until their callers give up", 15*time.Second, func(config *soak.Config) { config.Impatient = true }),
+		Entry("pauses of any instances, until their callers give up", 15*time.Second, func(config *soak.Config) { config.Impatient = true }),
 		// Guards against steps that wait for ever once each permitted worker has refused a
 		// ticket.
-		Entry("any, while tickets expire on their way", 15*time.Second, func(config *soak.Config) { config.Tickets = true }),
+		Entry("pauses of any instances, while tickets expire on their way", 15*time.Second, func(config *soak.Config) { config.Tickets = true }),
+		// Guards against tasks that run twice, since the lease that a restarted worker has
+		// from calls for its former life was counted as ended.
+		Entry("workers that restart and are cut off, while their owner is replaced", 30*time.Second, func(config *soak.Config) { config.Recuts = true }),
 	)
 
 	// Seeds that failed once stay here, each with its cause.
--- a/internal/tool/soak/world.go
+++ b/internal/tool/soak/world.go
@@ -109,6 +109,8 @@
 	lasting sync.Map
 	// slow are the IDs of the jobs whose steps run for slowTime each.
 	slow sync.Map
+	// long are the IDs of the jobs whose tasks run for longTime each.
+	long sync.Map
 	// gangs are the numbers of members of the jobs whose steps are gangs, by job ID.
 	gangs sync.Map
 	// began is the boot time at which the schedule of faults began, and calmFrom that at
@@ -135,6 +137,9 @@
 			if _, slow := w.slow.Load(task.Job); slow {
 				return slowTime
 			}
+			if _, long := w.long.Load(task.Job); long {
+				return longTime
+			}
 			return runTime
 		},
 		Fails: func(task cairnbay.WorkflowTask, attempt int) bool { return task.Index == 1 && attempt%3 == 1 },
@@ -144,7 +149,7 @@
 		Crash: agent.CrashPlan{
 			Deadly: w.isDeadly, After: func() time.Duration { return crashAfter }, Downtime: crashDowntime,
 		},
-		ShrinkGrace: shrinkGrace, Incarnations: config.KeepNames, MaxLease: maxWorkerLease,
+		ShrinkGrace: shrinkGrace, Incarnations: config.KeepNames, MaxLease: maxWorkerLease, ClockStart: clockOfLife,
 	})
 	storeAddress, err := w.serve(stand.Store(w.store))
 	if err != nil {
