drive: an owner without a majority of its workers confirms its ownership by the store

Cause: orders need a majority of the workers or the claim of the last 2.5 s. Only callers' questions read the fence again.

Change: while there is no majority, the owner reads the fence every 0.7 s. What a next owner waits for covers this: it claims after such a read, and 2.5 s on no order of the former one leaves.

--- a/internal/process/drive/confirm.go
+++ b/internal/process/drive/confirm.go
@@ -21,6 +21,9 @@
 	// least, so that they stay a small part of what the store allows.
 	fenceTimeout  = 600 * time.Millisecond
 	fenceInterval = 20 * time.Millisecond
+	// confirmPeriod is the time between reads of the fence by an owner that does not reach a
+	// majority of its workers. Two of them may fail within confirmWindow.
+	confirmPeriod = 700 * time.Millisecond
 	// storeReporter stands for the store as the source of the news of another owner.
 	storeReporter = "store"
 )
@@ -105,6 +108,29 @@
 	return now-d.ownedAt <= confirmWindow || d.confirmedByMajority(now)
 }
 
+// confirmLoop confirms the ownership by the store while a majority of the workers does not
+// answer, so that those that do are served, until the drive closes.
+func (d *Drive) confirmLoop() {
+	for {
+		select {
+		case <-d.ctx.Done():
+			return
+		case <-d.confirmDue:
+		}
+		if d.needsStore() {
+			// What fails is repeated, and logged once no orders can be given.
+			_ = d.confirm(d.ctx)
+		}
+	}
+}
+
+// needsStore says whether the ownership is confirmed by the store only, or not at all.
+func (d *Drive) needsStore() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return !d.fenced && d.presentLinks() > 0 && !d.confirmedByMajority(d.config.BootTime())
+}
+
 // confirmLoaded confirms the ownership after the journal was read late. The first renewals
 // would extend no lease otherwise, and the leases from the former owner would run out while
 // this one waits for a majority. Without an answer of the store it goes on.
--- a/internal/process/drive/drive.go
+++ b/internal/process/drive/drive.go
@@ -74,8 +74,9 @@
 	writer *record.Writer
 	// fence reads the revision of the last claim of the shard.
 	fence *fresh.Reader[cairnbay.Revision]
-	// planDue and compactDue wake the goroutines that plan and that check the journal.
-	planDue, compactDue chan struct{}
+	// planDue, compactDue and confirmDue wake the goroutines that plan, that check the
+	// journal and that confirm the ownership.
+	planDue, compactDue, confirmDue chan struct{}
 	// tickDue says that the next plan must consider the time that has passed.
 	tickDue     atomic.Bool
 	meters      meters
@@ -171,7 +172,7 @@
 	config.Log = config.Log.WithField("shard", config.Claim.Shard)
 	config.Sched.AttemptBase = int(config.Claim.Generation-1) * attemptsPerOwner
 	d := &Drive{
-		config: config, ctx: ctx, cancel: cancel, planDue: make(chan struct{}, 1), compactDue: make(chan struct{}, 1),
+		config: config, ctx: ctx, cancel: cancel, planDue: make(chan struct{}, 1), compactDue: make(chan struct{}, 1), confirmDue: make(chan struct{}, 1),
 		core: sched.New(config.Sched), links: make(map[string]*link), lineages: make(map[string]*lineage),
 		listed: make(map[string]cairnbay.WorkerEntry), pending: make(map[string]*pendingSubmission), recordsStored: make(chan struct{}),
 		inherited: make(map[string]inheritance), refusals: make(map[string]struct{}), replaced: make(map[string]replacedWorker), pacer: newPacer(), meters: newMeters(config.Metrics, config.Claim.Shard),
@@ -221,7 +222,9 @@
 		d.requestPlan()
 	})()
 	defer d.config.Clock.Every(compactPeriod, func(time.Duration) { timer.Signal(d.compactDue) })()
+	defer d.config.Clock.Every(confirmPeriod, func(time.Duration) { timer.Signal(d.confirmDue) })()
 	d.done.Go(d.compactLoop)
+	d.done.Go(d.confirmLoop)
 	for {
 		select {
 		case <-d.ctx.Done():
--- a/internal/process/drive/replaced_test.go
+++ b/internal/process/drive/replaced_test.go
@@ -93,3 +93,29 @@
 		c.store.SetDown(false)
 	})
 })
+
+// Guards against jobs that wait beside free workers, and leases that run out, while an owner
+// that the store shows does not reach half of its workers.
+var _ = DescribeTable("an owner that does not reach half of its workers", func(downTime time.Duration, starts int) {
+	c := newCluster(2)
+	owner := c.startOwner()
+	DeferCleanup(owner.Close)
+	c.accept(owner, "before")
+	Eventually(jobState(owner, "before"), "10s").Should(Equal(cairnbay.WorkflowCompleted))
+	c.runTime.Store(int64(time.Minute))
+	c.fleet.Cut("w0", true)
+	time.Sleep(4 * time.Second)
+	Expect(submit(owner, flatJob("j", 1), time.Second)).To(Equal(accepted))
+	before := c.fleet.Starts()
+	c.store.SetDown(downTime > 0)
+	time.Sleep(downTime)
+	if starts == 0 {
+		Eventually(func() []cairnbay.WorkflowTask { return c.fleet.Running("w1") }, "5s").Should(BeEmpty())
+		return
+	}
+	Eventually(c.fleet.Starts, "3s", "10ms").Should(Equal(before + starts))
+	Consistently(func() []cairnbay.WorkflowTask { return c.fleet.Running("w1") }, "3s").Should(HaveLen(starts))
+},
+	Entry("goes on with the others while the store shows it as the owner", time.Duration(0), 1),
+	Entry("extends no lease once the store does not answer", 4*time.Second, 0),
+)
