--- a/internal/process/drive/departed_test.go
+++ b/internal/process/drive/departed_test.go
@@ -132,3 +132,30 @@
 	Eventually(jobState(next, "j"), "5s").Should(Equal(cairnbay.WorkflowCompleted))
 	Expect(c.fleet.Starts()).To(Equal(1))
 })
+
+// Guards against jobs that wait at a takeover for a worker that leaves, though nothing of them
+// runs there.
+var _ = It("waits for a draining worker that is no longer listed with the tasks that may run there only", func() {
+	c := newCluster(3)
+	owner := c.startOwner()
+	c.acceptWide(owner, "j")
+	leaving := c.entries()
+	leaving[0].Draining = true
+	owner.SetWorkers(leaving)
+	Expect(submit(owner, job("waiting", 20), time.Second)).To(Equal(accepted))
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	Expect(owner.Flush(ctx)).To(Succeed())
+	c.fleet.Cut("w0", true)
+	owner.Close()
+	c.workers = c.workers[1:]
+	c.runTime.Store(int64(runTime))
+	next := c.startOwner()
+	DeferCleanup(next.Close)
+	// The former owner may extend the lease until 2.5 s after the claim; it has ended
+	// 3.83 s after the claim.
+	Eventually(jobState(next, "waiting"), "3500ms").Should(Equal(cairnbay.WorkflowCompleted))
+	Expect(jobState(next, "j")()).To(Equal(cairnbay.WorkflowRunning))
+	Eventually(jobState(next, "j"), "4s").Should(Equal(cairnbay.WorkflowCompleted))
+	Expect(c.fleet.Broken()).To(BeEmpty())
+})
