--- a/internal/process/drive/confine.go
+++ b/internal/process/drive/confine.go
@@ -17,9 +17,9 @@
 	d.writer.Append([]*cairnbayv1.WorkRecord{d.workerRecord(l)}, d.logStoreFailure("draining worker"))
 }
 
-// releaseConfined lets a worker that is no longer draining take tasks once the journal says
+// unconfine lets a worker that is no longer draining take tasks once the journal says
 // so; the caller holds the lock.
-func (d *Drive) releaseConfined(l *link) {
+func (d *Drive) unconfine(l *link) {
 	l.confined, l.journaled, l.entry.Draining = false, false, false
 	d.core.SetReachable(d.now(), l.entry.ID, false)
 }
--- a/internal/process/drive/drive.go
+++ b/internal/process/drive/drive.go
@@ -311,7 +311,7 @@
 			if link := d.links[id]; link != nil {
 				link.draining = entry.Draining
 				if link.confined && !entry.Draining {
-					d.releaseConfined(link)
+					d.unconfine(link)
 				}
 			}
 		}
@@ -372,7 +372,7 @@
 	if link := d.links[entry.ID]; link != nil {
 		link.draining = entry.Draining
 		if link.confined && !entry.Draining {
-			d.releaseConfined(link)
+			d.unconfine(link)
 		}
 		if link.unlisted {
 			link.handleListed(entry)
