drive: the token that was raised for restarted workers outlasts them

An owner is replaced by itself as workers come back from a long cut, and inherited jobs wait once more.

Cause: the token of a worker's lineage rises after a restart. Once the worker is cut off and dropped as unlisted, the lineage is forgotten, and the next one starts with the token of the claim. The worker refuses that, and two refusals count as a newer owner.

Change: the drive keeps the highest token that it has raised, and new lineages start with it.

Result: such workers are used again by the same owner.

--- a/internal/process/drive/drive.go
+++ b/internal/process/drive/drive.go
@@ -92,7 +92,10 @@
 	// lineages all runs, by the workers' name.
 	links    map[string]*link
 	lineages map[string]*lineage
-	listed   map[string]cairnbay.WorkerEntry
+	// raisedToken is the highest token that a lineage has had, also one that was dropped
+	// since: a worker that is back refuses a lower one.
+	raisedToken uint64
+	listed      map[string]cairnbay.WorkerEntry
 	// listRead says that the list has been read at least once.
 	listRead bool
 	// replaced holds the workers that the list still contains although another worker
--- a/internal/process/drive/lineage.go
+++ b/internal/process/drive/lineage.go
@@ -78,7 +78,7 @@
 func (d *Drive) lineage(id string) *lineage {
 	name := cairnbay.WorkerName(id)
 	if d.lineages[name] == nil {
-		d.lineages[name] = &lineage{token: d.config.Claim.Token}
+		d.lineages[name] = &lineage{token: max(d.config.Claim.Token, d.raisedToken)}
 	}
 	return d.lineages[name]
 }
@@ -98,6 +98,7 @@
 	}
 	if revision := uint64(d.writer.Revision()); revision > g.token {
 		g.token, g.raise, g.awaited = revision, false, false
+		d.raisedToken = max(d.raisedToken, revision)
 		return true
 	}
 	if !g.awaited {
