drive: read the ends of a run that the list does not show before it is dropped

Cause: a restarted worker that the list has not shown for 5 s, as in an outage of the store, is dropped as one of another class once it runs nothing. The answer that lists no running task may list its end for the first time.

Change: the answer is handled first. The run is dropped only if it runs nothing and lists no end of a job of this shard.

Result: such an end is stored and acknowledged.

--- a/internal/process/drive/link.go
+++ b/internal/process/drive/link.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -348,12 +349,6 @@
 	if !unjournaled {
 		d.core.SetReachable(d.now(), l.entry.ID, true)
 	}
-	if l.unlisted && len(state.Running) == 0 && now.BootTime-l.openedAt > unlistedTimeout {
-		// It belongs to another class, or shard, now.
-		d.drop(l, "unlisted")
-		d.mu.Unlock()
-		return 0
-	}
 	delete(d.refusals, l.entry.ID)
 	delete(d.replaced, l.entry.ID)
 	ended, released := d.endFormer(l, state)
@@ -366,8 +361,11 @@
 	for _, id := range ended {
 		d.resolveInherited(id)
 	}
+	if l.worksElsewhere(now.BootTime, state, result) {
+		d.drop(l, "unlisted")
+	}
 	var used []*cairnbayv1.WorkRecord
-	if unjournaled {
+	if unjournaled && !l.dropped {
 		l.confined = false
 		used = append(used, d.workerRecord(l))
 	}
@@ -386,6 +384,13 @@
 	return d.acknowledge(l, records, result)
 }
 
+// worksElsewhere says whether a run that is still not listed belongs to another class, or
+// shard: its answer tells of no task of this one.
+func (l *link) worksElsewhere(now time.Duration, state cairnbay.AgentState, result sched.HoldResult) bool {
+	return l.unlisted && now-l.openedAt > unlistedTimeout && len(state.Running) == 0 && !state.EndsTruncated &&
+		!slices.ContainsFunc(result.Ends, func(end sched.AttemptEnd) bool { return end.JobKnown })
+}
+
 // handleJournaled lets a worker take tasks once the journal lists it as used, or releases
 // one that is gone by then; the caller holds the lock.
 func (d *Drive) handleJournaled(l *link) {
--- a/internal/process/drive/relisted_test.go
+++ b/internal/process/drive/relisted_test.go
@@ -5,6 +5,9 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"cairnbay"
+	"cairnbay/internal/process/timer"
 )
 
 // list lists workers again after listElsewhere, all at once.
@@ -16,8 +19,18 @@
 	}
 }
 
-// dropTime is enough for a worker that is cut off and not listed to be dropped.
-const dropTime = 8 * time.Second
+func (a *severedAgent) reconnect() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.severed = false
+}
+
+const (
+	// dropTime is enough for a worker that is cut off and not listed to be dropped.
+	dropTime = 8 * time.Second
+	// longRun ends after the time for which a run that is not listed is kept.
+	longRun = 6500 * time.Millisecond
+)
 
 // Guards against owners that take themselves for replaced: they forgot the token that they
 // had raised for restarted workers, and called these with an older one.
@@ -42,3 +55,32 @@
 	Entry("one of them", "w0"),
 	Entry("two of them", "w0", "w1"),
 )
+
+// Guards against tasks that are done and run again (TWICE): a run that the list had not
+// shown yet was dropped, with the end that it listed for the first time.
+var _ = DescribeTable("the ends of a restarted worker are read whenever the list shows the restart", func(listedAfter time.Duration) {
+	c := newRestartCluster()
+	c.runTime.Store(int64(longRun))
+	severed := &severedAgent{Agent: c.agent, worker: "w0"}
+	c.agent = severed
+	c.replaceOwner()
+	c.useOnly("w0")
+	Eventually(func() any { return submit(c.owner, flatJob("j", 1), time.Second) }, "10s", "20ms").Should(Equal(accepted))
+	Eventually(func() any { return c.fleet.Running("w0") }, "5s", "1ms").Should(HaveLen(1))
+	c.listBorn("w0", c.born("w0"))
+	late := severed.sever()
+	c.fleet.Restart("w0", 0, restartSize)
+	c.fleet.StartLate(timer.Boot(), cairnbay.AgentTarget{Worker: "w0"}, late)
+	Expect(c.fleet.Running("w0")).To(HaveLen(1))
+	severed.reconnect()
+	c.useAll()
+	time.Sleep(listedAfter)
+	c.listBorn("w0", 0)
+	Eventually(jobState(c.owner, "j"), "20s").Should(Equal(cairnbay.WorkflowCompleted))
+	time.Sleep(renewals)
+	Expect(c.fleet.Broken()).To(BeEmpty())
+	Expect(c.fleet.Starts()).To(Equal(2))
+},
+	Entry("within a second", time.Second),
+	Entry("after its task has ended", longRun+time.Second),
+)
