drive: a late record of a dropped link does not release a worker that is used again

Cause: while the store is away, a worker answers, is cut off and dropped, and answers again. Once the store is back, the first record of use finds its link dropped and releases the worker, after the second record by which it is used again.

Change: if another link to the same run exists, it takes over the record and releases the worker when it is dropped itself.

Result: the next owner waits for the lease of such a worker.

--- a/internal/process/drive/link.go
+++ b/internal/process/drive/link.go
@@ -396,6 +396,14 @@
 func (d *Drive) handleJournaled(l *link) {
 	switch {
 	case l.dropped:
+		if next := d.findLink(l.entry.ID); next != nil {
+			// The same run is used again: its new link releases it.
+			next.journaled = true
+			if next.answeredAt > 0 && next.failures == 0 {
+				d.handleJournaled(next)
+			}
+			return
+		}
 		d.journalRelease(l)
 	case !l.superseded:
 		d.core.SetReachable(d.now(), l.entry.ID, true)
--- a/internal/process/drive/relisted_test.go
+++ b/internal/process/drive/relisted_test.go
@@ -84,3 +84,38 @@
 	Entry("within a second", time.Second),
 	Entry("after its task has ended", longRun+time.Second),
 )
+
+// Guards against tasks that run twice (TWICE): the release of a worker that was dropped before
+// its record was stored came after the record by which it was used again.
+var _ = DescribeTable("a worker that was dropped and is used again is waited for by the next owner", func(outage bool) {
+	c := newRestartCluster()
+	severed := &severedAgent{Agent: c.agent, worker: "w9"}
+	c.agent = severed
+	c.replaceOwner()
+	c.awaitUsable()
+	c.store.SetDown(outage)
+	c.mu.Lock()
+	c.fleet.Add("w9", restartSize)
+	c.mu.Unlock()
+	time.Sleep(restartPause)
+	severed.sever()
+	c.listElsewhere("w9")
+	time.Sleep(dropTime)
+	severed.reconnect()
+	c.list("w9")
+	time.Sleep(300 * time.Millisecond)
+	c.store.SetDown(false)
+	Eventually(func() int { return c.owner.Counts().Usable }, "5s", "10ms").Should(Equal(len(c.names) + 1))
+	c.runTime.Store(int64(2 * maxWorkerLease))
+	c.useOnly("w9")
+	Eventually(func() any { return submit(c.owner, flatJob("j", 1), time.Second) }, "10s", "20ms").Should(Equal(accepted))
+	Eventually(func() any { return c.fleet.Running("w9") }, "5s", "1ms").Should(HaveLen(1))
+	severed.sever()
+	c.useAll()
+	c.replaceOwner()
+	Eventually(c.fleet.Starts, "15s", "10ms").Should(Equal(2))
+	Expect(c.fleet.Broken()).To(BeEmpty())
+},
+	Entry("with a store that answers", false),
+	Entry("after an outage of the store", true),
+)
