drive: a start without an answer holds its task for the longest lease

Cause: a start without an answer may have been carried out by a run with another clock, which cuts its time to the longest lease (10 s). Once the worker was silent, its owner counted the usual lease (5 s) on the clock of the run that it knew.

Change: the owner remembers the attempts of which a start, or an earlier try of it, had no answer, until the known run answers a renewal sent a longest lease later. When a worker that tells its start falls silent, these attempts are lost a longest lease after the last call that grants one; all others at the usual time, as before. Workers that do not tell their start are not concerned.

Evidence: two specs in long_lease_test.go ("a start without an answer", "an attempt whose first start had no answer", under the same owner).

A call that arrives later than the longest lease stays open.

--- a/internal/process/drive/leases.go
+++ b/internal/process/drive/leases.go
@@ -1,9 +1,13 @@
 package drive
 
 import (
+	"slices"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	cairnbayv1 "cairnbay/gen/cairnbay/v1"
+	"cairnbay/internal/process/sched"
 )
 
 // grantLease returns the lease end, on the worker's clock, of an order sent now;
@@ -13,7 +17,7 @@
 		return 0
 	}
 	end := l.clock + (now - l.answeredAt) + lease
-	l.leaseEnd, l.granted = max(l.leaseEnd, end), true
+	l.leaseEnd, l.grantedAt = max(l.leaseEnd, end), now
 	return end
 }
 
@@ -48,10 +52,14 @@
 	l.leaseEnd = max(l.leaseEnd, clock+time.Duration(float64(d.config.Lease)*clockDriftFactor))
 }
 
-// updateLongLease journals, after an answer, whether the worker may hold the longest lease;
-// the caller holds the lock.
-func (d *Drive) updateLongLease(l *link) {
-	if long := l.clock < l.longLeaseEnd; long != l.longLease {
+// updateLongLease journals, after an answer to a renewal sent at a boot time, whether the
+// worker may hold the longest lease; the caller holds the lock.
+func (d *Drive) updateLongLease(l *link, sent time.Duration) {
+	long := l.clock < l.longLeaseEnd
+	if sent > l.unansweredAt+d.config.MaxLease {
+		l.unanswered = nil
+	}
+	if long != l.longLease {
 		d.setLongLease(l, long)
 	}
 }
@@ -65,6 +73,66 @@
 	}
 }
 
+// noteUnanswered notes the attempt of a start without an answer. Another run of the worker
+// may have carried it out, and holds the longest lease then. The caller holds the lock.
+func (d *Drive) noteUnanswered(l *link, attempt sched.PlacedAttempt) {
+	if !l.restartable() || l.dropped {
+		return
+	}
+	l.unansweredAt = d.config.BootTime()
+	if !slices.Contains(l.unanswered, attempt) {
+		l.unanswered = append(d.unansweredOn(l), attempt)
+	}
+}
+
+// unansweredOn returns the attempts on a worker of which a start had no answer; the caller
+// holds the lock.
+func (d *Drive) unansweredOn(l *link) (attempts []sched.PlacedAttempt) {
+	if len(l.unanswered) == 0 {
+		return nil
+	}
+	for _, placed := range d.core.PlacedOn(l.entry.ID) {
+		if slices.Contains(l.unanswered, placed) {
+			attempts = append(attempts, placed)
+		}
+	}
+	return attempts
+}
+
+// unansweredMayRun returns the attempts that another run of a silent worker may still run,
+// though the lease of the known one has ended; the caller holds the lock.
+func (d *Drive) unansweredMayRun(l *link, now time.Duration) []sched.PlacedAttempt {
+	if now > max(l.answeredAt, l.grantedAt)+leaseTime(d.config.MaxLease) {
+		return nil
+	}
+	return d.unansweredOn(l)
+}
+
+// expireLease counts the attempts on a silent worker as lost whose leases have certainly
+// ended; the caller holds the lock.
+func (d *Drive) expireLease(l *link, now time.Duration) {
+	kept := d.unansweredMayRun(l, now)
+	l.lapsed = len(kept) == 0
+	if !l.lapsed && l.usualLapsed {
+		return
+	}
+	d.config.Log.WithFields(logrus.Fields{
+		"worker": l.entry.ID, "silent_ms": (now - l.answeredAt).Milliseconds(), "granted": l.grantedAt > 0,
+		"long": l.longLease || l.usualLapsed, "unanswered": len(kept),
+	}).Info("lease ended")
+	if !l.lapsed {
+		l.usualLapsed = true
+		d.reportLoss(l.entry.ID, "lease_ended", d.core.HandlePartialLoss(d.now(), l.entry.ID, sched.LossSilent, kept))
+		return
+	}
+	d.handleWorkerLoss(l.entry.ID, "lease_ended", sched.LossSilent)
+	d.journalRelease(l)
+	if entry, listed := d.listed[l.entry.ID]; listed {
+		d.core.SetWorker(entry)
+		d.core.SetReachable(d.now(), l.entry.ID, false)
+	}
+}
+
 // extendFormerLease raises the assumed lease of a run after which another one is known: that
 // one may have carried out the last calls for it, and holds the longest lease then, as its
 // clock has nothing to do with theirs. The caller holds the lock.
--- a/internal/process/drive/link.go
+++ b/internal/process/drive/link.go
@@ -37,8 +37,13 @@
 	// lease, which ends at longLeaseEnd on its clock; 0 before the first answer.
 	longLease    bool
 	longLeaseEnd time.Duration
-	// granted says that this owner has granted a lease.
-	granted bool
+	// grantedAt is the boot time at which this owner last sent a call that grants a lease; 0
+	// before the first one.
+	grantedAt time.Duration
+	// unanswered are attempts with a start that had no answer, the last one at the boot time
+	// unansweredAt. Another run of the worker may carry out that start.
+	unanswered   []sched.PlacedAttempt
+	unansweredAt time.Duration
 	// confirmedAt is the boot time at which the last accepted call was sent.
 	confirmedAt time.Duration
 	// acked is the sequence of the last attempt end that is in the store.
@@ -62,8 +67,9 @@
 	// and does not answer. Its tasks may run until its lease ends all the same.
 	departed bool
 	// lapsed says that the worker's lease has ended without an answer, and that
-	// its attempts were counted as lost.
-	lapsed bool
+	// its attempts were counted as lost; usualLapsed that those were whose starts had
+	// answers.
+	lapsed, usualLapsed bool
 }
 
 // storingEnds is the state of records about attempt ends of a worker.
@@ -252,24 +258,15 @@
 	}
 	d.core.SetReachable(d.now(), l.entry.ID, false)
 	d.expireFormer(l.lineage)
-	entry, listed := d.listed[l.entry.ID]
+	_, listed := d.listed[l.entry.ID]
 	l.departed = d.leaving(l) && l.answeredAt > 0 && now-l.answeredAt > departedTimeout
 	formerRuns := d.formerMayRun(l.lineage)
-	if d.leaving(l) && l.leaseEnded(now) && !formerRuns {
+	if d.leaving(l) && l.leaseEnded(now) && !formerRuns && len(d.unansweredMayRun(l, now)) == 0 {
 		d.drop(l, "left")
 		return 0, false
 	}
 	if l.leaseEnded(now) && !l.lapsed {
-		l.lapsed = true
-		d.config.Log.WithFields(logrus.Fields{
-			"worker": l.entry.ID, "silent_ms": (now - l.answeredAt).Milliseconds(), "granted": l.granted, "long": l.longLease,
-		}).Info("lease ended")
-		d.handleWorkerLoss(l.entry.ID, "lease_ended", sched.LossSilent)
-		d.journalRelease(l)
-		if listed {
-			d.core.SetWorker(entry)
-			d.core.SetReachable(d.now(), l.entry.ID, false)
-		}
+		d.expireLease(l, now)
 	}
 	_, inherited := d.inherited[l.entry.ID]
 	since := max(l.answeredAt, d.config.Claim.ClaimedAt)
@@ -342,7 +339,7 @@
 	l.listsEnds, l.endsTruncated = len(state.Ended) > 0, state.EndsTruncated
 	if l.failures > 0 {
 		d.config.Log.WithFields(logrus.Fields{"worker": l.entry.ID, "failures": l.failures}).Info("worker regained")
-		l.failures, l.lapsed, l.departed = 0, false, false
+		l.failures, l.lapsed, l.usualLapsed, l.departed = 0, false, false, false
 	}
 	unjournaled := !l.journaled
 	if !unjournaled {
@@ -357,7 +354,7 @@
 	delete(d.refusals, l.entry.ID)
 	delete(d.replaced, l.entry.ID)
 	ended, released := d.endFormer(l, state)
-	d.updateLongLease(l)
+	d.updateLongLease(l, sent)
 	result := d.core.HandleHold(now, l.entry.ID, sent, state)
 	d.logGivenUp()
 	if !state.EndsTruncated {
--- a/internal/process/drive/long_lease_test.go
+++ b/internal/process/drive/long_lease_test.go
@@ -19,6 +19,9 @@
 	cairnbay.Agent
 	worker string
 
+	// lose says that the next start does not arrive.
+	lose atomic.Bool
+
 	mu      sync.Mutex
 	severed bool
 	start   cairnbay.AgentStart
@@ -45,6 +48,10 @@
 		a.mu.Lock()
 		a.start = order
 		a.mu.Unlock()
+		if a.lose.Swap(false) {
+			<-ctx.Done()
+			return 0, cairnbay.ErrUnknown
+		}
 	}
 	return a.Agent.Start(ctx, target, order)
 }
@@ -56,6 +63,13 @@
 	return a.Agent.Hold(ctx, target, order)
 }
 
+func (a *severedAgent) Stop(ctx context.Context, target cairnbay.AgentTarget, order cairnbay.AgentStop) (time.Duration, error) {
+	if a.refuses(target) {
+		return 0, cairnbay.ErrUnknown
+	}
+	return a.Agent.Stop(ctx, target, order)
+}
+
 // restartOwner replaces the owner by a later process of its instance.
 func (c *restartCluster) restartOwner() {
 	c.afterRestart = true
@@ -150,13 +164,35 @@
 )
 
 // restartingAgent restarts a worker just before the next start, once armed, and severs it
-// after that start.
+// after that start, which a silent worker does not answer.
 type restartingAgent struct {
 	*severedAgent
 	armed   atomic.Bool
+	silent  bool
 	restart func()
 }
 
+// useRestarting starts an owner whose next start, once armed, w0 carries out as another run
+// of which the list does not tell.
+func (c *restartCluster) useRestarting(silent bool) *restartingAgent {
+	agent := &restartingAgent{severedAgent: &severedAgent{Agent: c.agent, worker: "w0"}, silent: silent}
+	agent.restart = func() {
+		c.listBorn("w0", c.born("w0"))
+		c.fleet.Restart("w0", 0, restartSize)
+	}
+	c.agent = agent
+	c.replaceOwner()
+	c.useOnly("w0")
+	c.awaitUsable()
+	return agent
+}
+
+// acceptTask submits a job of one task until it is accepted, and awaits a number of starts.
+func (c *restartCluster) acceptTask(id string, starts int) {
+	Eventually(func() any { return submit(c.owner, flatJob(id, 1), time.Second) }, "10s", "20ms").Should(Equal(accepted))
+	Eventually(c.fleet.Starts, "5s", "1ms").Should(Equal(starts))
+}
+
 func (a *restartingAgent) Start(ctx context.Context, target cairnbay.AgentTarget, order cairnbay.AgentStart) (time.Duration, error) {
 	if !a.armed.Swap(false) {
 		return a.severedAgent.Start(ctx, target, order)
@@ -164,6 +200,10 @@
 	a.restart()
 	clock, err := a.Agent.Start(ctx, target, order)
 	a.sever()
+	if a.silent {
+		<-ctx.Done()
+		return 0, cairnbay.ErrUnknown
+	}
 	return clock, err
 }
 
@@ -173,19 +213,52 @@
 	func() {
 		c := newRestartCluster()
 		c.runTime.Store(int64(2 * maxWorkerLease))
-		agent := &restartingAgent{severedAgent: &severedAgent{Agent: c.agent, worker: "w0"}}
-		agent.restart = func() {
-			c.listBorn("w0", c.born("w0"))
-			c.fleet.Restart("w0", 0, restartSize)
-		}
-		c.agent = agent
-		c.replaceOwner()
-		c.useOnly("w0")
-		c.awaitUsable()
-		agent.armed.Store(true)
-		Eventually(func() any { return submit(c.owner, flatJob("j", 1), time.Second) }, "10s", "20ms").Should(Equal(accepted))
-		Eventually(c.fleet.Starts, "5s", "1ms").Should(Equal(1))
+		c.useRestarting(false).armed.Store(true)
+		c.acceptTask("j", 1)
 		c.useAll()
 		Eventually(c.fleet.Starts, "15s", "10ms").Should(Equal(2))
 		Expect(c.fleet.Broken()).To(BeEmpty())
 	})
+
+// Guards against tasks that run twice (TWICE): the next run has carried out a start for the
+// former one without an answer, and no owner hears of that run.
+var _ = DescribeTable("a start without an answer holds back its task for the longest lease, and the others on its worker for the usual one",
+	func(disrupt func(c *restartCluster)) {
+		c := newRestartCluster()
+		c.runTime.Store(int64(3 * maxWorkerLease))
+		agent := c.useRestarting(true)
+		c.acceptTask("answered", 1)
+		agent.armed.Store(true)
+		c.acceptTask("unanswered", 2)
+		disrupt(c)
+		c.useAll()
+		Eventually(c.fleet.Starts, "15s", "1ms").Should(BeNumerically(">", 2))
+		Consistently(c.fleet.Broken, lease, "10ms").Should(BeEmpty())
+		Expect(c.fleet.Starts()).To(Equal(3))
+		Eventually(c.fleet.Starts, "15s", "10ms").Should(Equal(4))
+		Expect(c.fleet.Broken()).To(BeEmpty())
+	},
+	Entry("under the same owner", func(*restartCluster) {}),
+)
+
+// Guards against tasks that run twice (TWICE): a start was repeated and answered, and the next
+// run carries out the first try.
+var _ = DescribeTable("an attempt whose first start had no answer counts as running for the longest lease after its worker has restarted",
+	func(disrupt func(c *restartCluster)) {
+		c := newRestartCluster()
+		c.runTime.Store(int64(3 * maxWorkerLease))
+		agent := c.useRestarting(true)
+		agent.lose.Store(true)
+		c.acceptTask("j", 1)
+		time.Sleep(restartPause)
+		late := agent.sever()
+		agent.restart()
+		c.fleet.StartLate(timer.Boot(), cairnbay.AgentTarget{Worker: "w0"}, late)
+		Expect(c.fleet.Running("w0")).To(HaveLen(1))
+		disrupt(c)
+		c.useAll()
+		Eventually(c.fleet.Starts, "15s", "10ms").Should(Equal(3))
+		Expect(c.fleet.Broken()).To(BeEmpty())
+	},
+	Entry("under the same owner", func(*restartCluster) {}),
+)
--- a/internal/process/drive/orders.go
+++ b/internal/process/drive/orders.go
@@ -33,6 +33,8 @@
 	// order that grants none.
 	sent, leaseEnd time.Duration
 	token          uint64
+	// attempt is what a start orders.
+	attempt sched.PlacedAttempt
 }
 
 // prepareStart returns the delivery of a start sent now. An attempt that was counted as lost
@@ -52,6 +54,7 @@
 		return delivery{}, cairnbay.ErrOverloaded
 	}
 	sending.leaseEnd = sending.link.grantLease(sending.sent, d.config.Lease)
+	sending.attempt = sched.PlacedAttempt{Task: action.Task, Attempt: action.Attempt}
 	return sending, nil
 }
 
@@ -84,7 +87,10 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	switch {
-	case err != nil || l.superseded:
+	case l.superseded:
+	case errors.Is(err, cairnbay.ErrUnknown) && order.leaseEnd > 0:
+		d.noteUnanswered(l, order.attempt)
+	case err != nil:
 	case l.isOtherRun(clock, order.sent):
 		// The next renewal tells which one it is.
 		d.config.Log.WithFields(logrus.Fields{
@@ -195,14 +201,18 @@
 		!errors.Is(err, cairnbay.ErrFenced) && !errors.Is(err, cairnbay.ErrReplaced)
 }
 
-// mayRetry says whether a start may be sent again: the core must still have the attempt,
-// and half of its lease must be left.
+// mayRetry says whether a start may be sent again, now: the core must still have the
+// attempt, and half of its lease must be left.
 func (d *Drive) mayRetry(action *sched.StartAction, order delivery) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.config.BootTime()
-	return d.ctx.Err() == nil && !order.link.superseded && now-order.sent < d.config.Lease/2 && d.ownershipConfirmed(now) &&
-		d.core.IsOrdered(action)
+	if d.ctx.Err() != nil || order.link.superseded || now-order.sent >= d.config.Lease/2 || !d.ownershipConfirmed(now) ||
+		!d.core.IsOrdered(action) {
+		return false
+	}
+	order.link.grantedAt = now
+	return true
 }
 
 // handleStarted logs the result of a start and passes it to the core. sent is when the start
--- a/internal/process/sched/worker.go
+++ b/internal/process/sched/worker.go
@@ -329,6 +329,19 @@
 // HandleWorkerLoss removes a worker whose tasks have certainly ended. It may be called
 // again for a silent worker, once more is known.
 func (c *Core) HandleWorkerLoss(now Moment, id string, cause LossCause) WorkerLoss {
+	loss := c.HandlePartialLoss(now, id, cause, nil)
+	if lostWorker := c.workers[id]; lostWorker != nil {
+		delete(c.workers, id)
+		index, _ := c.position(id)
+		c.sortedWorkers = slices.Delete(c.sortedWorkers, index, index+1)
+		c.removeSpeed(lostWorker)
+	}
+	return loss
+}
+
+// HandlePartialLoss is HandleWorkerLoss for a worker that may still run some attempts, which
+// stay attached to it.
+func (c *Core) HandlePartialLoss(now Moment, id string, cause LossCause, kept []PlacedAttempt) WorkerLoss {
 	var loss WorkerLoss
 	switch silent := c.crashes[id]; {
 	case silent != nil && cause == LossCrashed && !silent.confirmed:
@@ -342,15 +355,16 @@
 	}
 	if cause != LossDeparted && lostWorker.claimed {
 		loss.Records = append(loss.Records, c.noteCrash(now, lostWorker, cause)...)
+		// The loss of the rest is the same crash.
+		lostWorker.claimed = false
 	}
 	for _, attempt := range lostWorker.attempts {
+		if slices.Contains(kept, PlacedAttempt{attempt.ref, attempt.number}) {
+			continue
+		}
 		loss.Lost = append(loss.Lost, LostAttempt{attempt.ref, attempt.number, attempt.ranAtLeast()})
 		c.detach(attempt)
 		c.abortGang(attempt)
 	}
-	delete(c.workers, id)
-	index, _ := c.position(id)
-	c.sortedWorkers = slices.Delete(c.sortedWorkers, index, index+1)
-	c.removeSpeed(lostWorker)
 	return loss
 }
