drive: the next owner knows of starts without an answer

The next owner counted the usual lease for the silent worker.

Cause: which starts had no answer was known to the former owner only. The bound of the longest lease was lost with it.

If such a worker does not answer the next owner, all other tasks of former owners stop waiting for it at the usual time, and the listed ones a longest lease after the former owner fell silent. A draining worker, whose record lists all its attempts, is waited for with the longest lease as a whole.

Evidence: four entries of the two tables in long_lease_test.go ("under the next owner", "under the next owner but one", "under its owner after a restart" of both).

--- a/internal/process/drive/confine.go
+++ b/internal/process/drive/confine.go
@@ -28,16 +28,18 @@
 func (d *Drive) workerRecord(l *link) *cairnbayv1.WorkRecord {
 	ref := encodeWorker(l.entry)
 	ref.LongLease = l.longLease
+	attempts := l.unanswered
 	if l.confined {
-		ref.Confined = true
-		for _, placed := range d.core.PlacedOn(l.entry.ID) {
-			ref.Attempts = append(ref.Attempts, encodeTask(placed.Task, placed.Attempt))
-		}
+		ref.Confined, ref.LongLease = true, l.longLease || len(l.unanswered) > 0
+		attempts = d.core.PlacedOn(l.entry.ID)
+	}
+	for _, placed := range attempts {
+		ref.Attempts = append(ref.Attempts, encodeTask(placed.Task, placed.Attempt))
 	}
 	return &cairnbayv1.WorkRecord{Worker: ref}
 }
 
-// decodePlaced returns the attempts that may run on a confined worker.
+// decodePlaced returns the attempts that the record of a worker lists.
 func decodePlaced(ref *cairnbayv1.WorkerRef) (placed []sched.PlacedAttempt) {
 	for _, attempt := range ref.GetAttempts() {
 		placed = append(placed, sched.PlacedAttempt{Task: decodeTask(attempt), Attempt: int(attempt.GetAttempt())})
--- a/internal/process/drive/inherited.go
+++ b/internal/process/drive/inherited.go
@@ -27,6 +27,9 @@
 	d.inherited[entry.ID] = inheritance{confined}
 	l := d.openLink(entry, true)
 	l.confined, l.longLease = confined, ref.GetLongLease()
+	if !ref.GetConfined() {
+		l.unanswered, l.unansweredAt = decodePlaced(ref), now.BootTime
+	}
 }
 
 // resolveInherited removes a worker from the inherited ones after it answered with all
@@ -77,7 +80,7 @@
 	}
 	for id := range d.inherited {
 		l := d.findLink(id)
-		if now < d.inheritedLeaseEndsBy(l) {
+		if now < d.inheritedLeaseEndsBy(l) || l != nil && d.awaitUnanswered(l, now) {
 			continue
 		}
 		if l != nil {
@@ -97,6 +100,24 @@
 	}
 }
 
+// awaitUnanswered says whether an inherited worker whose usual lease has ended may still run
+// attempts of which a start had no answer. The tasks of other attempts no longer wait for it.
+// The caller holds the lock.
+func (d *Drive) awaitUnanswered(l *link, now time.Duration) bool {
+	id := l.entry.ID
+	if len(l.unanswered) == 0 || l.answeredAt > 0 || now >= d.formerSilentAt+leaseTime(d.config.MaxLease) {
+		return false
+	}
+	if !d.inherited[id].confined {
+		if !d.core.Assume(d.now(), id, l.unanswered) {
+			return true
+		}
+		d.inherited[id] = inheritance{confined: true}
+		d.endRecovery()
+	}
+	return len(d.unansweredOn(l)) > 0
+}
+
 // formerSilence returns the boot time from which no former owner extends leases, 0 while it
 // is not known; the caller holds the lock.
 func (d *Drive) formerSilence(now time.Duration) time.Duration {
--- a/internal/process/drive/leases.go
+++ b/internal/process/drive/leases.go
@@ -56,10 +56,11 @@
 // worker may hold the longest lease; the caller holds the lock.
 func (d *Drive) updateLongLease(l *link, sent time.Duration) {
 	long := l.clock < l.longLeaseEnd
-	if sent > l.unansweredAt+d.config.MaxLease {
+	settled := len(l.unanswered) > 0 && sent > l.unansweredAt+d.config.MaxLease
+	if settled {
 		l.unanswered = nil
 	}
-	if long != l.longLease {
+	if settled || long != l.longLease {
 		d.setLongLease(l, long)
 	}
 }
@@ -73,16 +74,18 @@
 	}
 }
 
-// noteUnanswered notes the attempt of a start without an answer. Another run of the worker
+// noteUnanswered journals the attempt of a start without an answer. Another run of the worker
 // may have carried it out, and holds the longest lease then. The caller holds the lock.
 func (d *Drive) noteUnanswered(l *link, attempt sched.PlacedAttempt) {
 	if !l.restartable() || l.dropped {
 		return
 	}
 	l.unansweredAt = d.config.BootTime()
-	if !slices.Contains(l.unanswered, attempt) {
-		l.unanswered = append(d.unansweredOn(l), attempt)
+	if slices.Contains(l.unanswered, attempt) {
+		return
 	}
+	l.unanswered = append(d.unansweredOn(l), attempt)
+	d.setLongLease(l, l.longLease)
 }
 
 // unansweredOn returns the attempts on a worker of which a start had no answer; the caller
--- a/internal/process/drive/long_lease_test.go
+++ b/internal/process/drive/long_lease_test.go
@@ -239,6 +239,20 @@
 		Expect(c.fleet.Broken()).To(BeEmpty())
 	},
 	Entry("under the same owner", func(*restartCluster) {}),
+	Entry("under the next owner", func(c *restartCluster) {
+		time.Sleep(restartPause)
+		c.replaceOwner()
+	}),
+	Entry("under its owner after a restart", func(c *restartCluster) {
+		time.Sleep(restartPause)
+		c.restartOwner()
+	}),
+	Entry("under the next owner but one", func(c *restartCluster) {
+		time.Sleep(restartPause)
+		c.replaceOwner()
+		time.Sleep(restartPause)
+		c.replaceOwner()
+	}),
 )
 
 // Guards against tasks that run twice (TWICE): a start was repeated and answered, and the next
@@ -261,4 +275,5 @@
 		Expect(c.fleet.Broken()).To(BeEmpty())
 	},
 	Entry("under the same owner", func(*restartCluster) {}),
+	Entry("under its owner after a restart", (*restartCluster).restartOwner),
 )
