--- a/internal/process/drive/long_lease_test.go
+++ b/internal/process/drive/long_lease_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -170,6 +171,8 @@
 	armed   atomic.Bool
 	silent  bool
 	restart func()
+	// answerTime is how long the owner does not notice that there is no answer.
+	answerTime time.Duration
 }
 
 // useRestarting starts an owner whose next start, once armed, w0 carries out as another run
@@ -201,6 +204,7 @@
 	clock, err := a.Agent.Start(ctx, target, order)
 	a.sever()
 	if a.silent {
+		time.Sleep(a.answerTime)
 		<-ctx.Done()
 		return 0, cairnbay.ErrUnknown
 	}
@@ -277,3 +281,33 @@
 	Entry("under the same owner", func(*restartCluster) {}),
 	Entry("under its owner after a restart", (*restartCluster).restartOwner),
 )
+
+// See docs/incidents/restarted_then_cut.md, "What remains".
+var _ = DescribeTable("a start for the former run of a worker that nobody reaches does not run its task twice",
+	func(disrupt func(c *restartCluster, agent *restartingAgent)) {
+		if os.Getenv("CAIRNBAY_SKIP_KNOWN_RED") != "" {
+			Skip("listed in KNOWN-RED.txt")
+		}
+		c := newRestartCluster()
+		c.runTime.Store(int64(3 * maxWorkerLease))
+		disrupt(c, c.useRestarting(true))
+		c.useAll()
+		Eventually(c.fleet.Starts, "15s", "10ms").Should(BeNumerically(">", 1))
+		Consistently(c.fleet.Broken, maxWorkerLease, "10ms").Should(BeEmpty())
+	},
+	Entry("if its owner dies before the start counts as unanswered", func(c *restartCluster, agent *restartingAgent) {
+		agent.answerTime = restartPause
+		agent.armed.Store(true)
+		c.acceptTask("j", 1)
+		c.restartOwner()
+	}),
+	Entry("if it arrives after the longest lease", func(c *restartCluster, agent *restartingAgent) {
+		agent.lose.Store(true)
+		c.acceptTask("j", 1)
+		late := agent.sever()
+		agent.restart()
+		c.useAll()
+		Eventually(c.fleet.Starts, "15s", "10ms").Should(Equal(2))
+		c.fleet.StartLate(timer.Boot(), cairnbay.AgentTarget{Worker: "w0"}, late)
+	}),
+)
