Count a run that restarted into another class as running for its lease

What callers saw: a task may run twice at the same time (TWICE). A worker's process starts again under its ID as a worker of another class or shard, carries out a start that was meant for its former run, and is cut off.

Cause: the list dropped the entry of a worker of another shard, so that the owner learnt only that the former run is no longer listed. It counted the lease on the former run's clock, while the late start may have given the new run the longest lease. The next owner read the same list and knew no more. Class: a bound that follows from an event is lost with the process that saw the event.

Change: the list passes on the entries of other shards' workers that tell the start of their process, when an ID or address changes. A run among them that takes the place of a run of this shard is treated like one that is known from the answer to a renewal: the former run gets no more calls, its lease is counted as the longest and journaled so, and the new one gets no tasks. It holds at a takeover too, before the recovery ends. Workers without a start are as before.

The stand-in of restart_test passes on such entries, so the specs that list a worker elsewhere take this path too. The whole suite of the package was cut off after 400 s on two cores and has not been run to its end.

--- a/internal/process/drive/drive.go
+++ b/internal/process/drive/drive.go
@@ -93,6 +93,8 @@
 	links    map[string]*link
 	lineages map[string]*lineage
 	listed   map[string]cairnbay.WorkerEntry
+	// elsewhere are the workers of other shards that tell the start of their process.
+	elsewhere []cairnbay.WorkerEntry
 	// listRead says that the list has been read at least once.
 	listRead bool
 	// replaced holds the workers that the list still contains although another worker
@@ -316,6 +318,7 @@
 			}
 		}
 	}
+	d.supersedeMoved()
 	d.endRecovery()
 	if len(workers) == 0 {
 		d.journalSettled()
--- a/internal/process/drive/lineage.go
+++ b/internal/process/drive/lineage.go
@@ -169,13 +169,46 @@
 		return
 	}
 	entry := l.entry
-	entry.ID, entry.Draining = answered, false
+	entry.ID = answered
+	d.openUnlisted(entry)
+}
+
+// SetElsewhere replaces the list of the workers of other shards that tell the start of
+// their process.
+func (d *Drive) SetElsewhere(entries []cairnbay.WorkerEntry) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.elsewhere = entries
+	if d.loaded {
+		d.supersedeMoved()
+	}
+}
+
+// supersedeMoved stops the calls to the runs after which another one works in another
+// shard; the caller holds the lock.
+func (d *Drive) supersedeMoved() {
+	for i := range d.elsewhere {
+		listed := &d.elsewhere[i]
+		g := d.lineages[cairnbay.WorkerName(listed.ID)]
+		if g == nil || g.current == nil || !g.current.restartable() || g.isKnown(listed.ID) {
+			continue
+		}
+		entry := g.current.entry
+		entry.ID, entry.Address = listed.ID, listed.Address
+		d.openUnlisted(entry)
+	}
+}
+
+// openUnlisted opens a link to a run that the list of the shard does not contain; the
+// caller holds the lock.
+func (d *Drive) openUnlisted(entry cairnbay.WorkerEntry) {
+	entry.Draining = false
 	d.core.SetWorker(entry)
-	d.core.SetUnlisted(answered)
+	d.core.SetUnlisted(entry.ID)
 	d.openLink(entry, false).unlisted = true
 }
 
-// handleListed handles the first entry of a run that was known from an answer only. The ID
+// handleListed handles the first entry of a run that was known otherwise. The ID
 // stays; it is read without the lock.
 func (l *link) handleListed(entry cairnbay.WorkerEntry) {
 	l.unlisted = false
--- a/internal/process/drive/link.go
+++ b/internal/process/drive/link.go
@@ -21,8 +21,8 @@
 	superseded, renewing bool
 	// openedAt is the boot time at which the link was opened.
 	openedAt time.Duration
-	// unlisted says that the run is known from an answer only, and that entry is that of
-	// the former one.
+	// unlisted says that the run is known from an answer or from the list of another shard
+	// only, and that entry is that of the former one.
 	unlisted bool
 	// journaled says that the journal lists the worker as used, so that the next
 	// owner assumes that tasks run there until the worker answers it.
--- a/internal/process/drive/long_lease_test.go
+++ b/internal/process/drive/long_lease_test.go
@@ -120,7 +120,7 @@
 // Guards against tasks that run twice (TWICE): a worker has restarted and has carried out a
 // start for its former run before it was cut off, so that no owner has had an answer of it.
 var _ = DescribeTable("a restarted worker that has never answered counts as running for the lease that a start for its former run has given it",
-	func(disrupt func(c *restartCluster)) {
+	func(list, disrupt func(c *restartCluster)) {
 		c := newRestartCluster()
 		c.runTime.Store(int64(2 * maxWorkerLease))
 		severed := &severedAgent{Agent: c.agent, worker: "w0"}
@@ -130,6 +130,7 @@
 		Eventually(func() any { return submit(c.owner, flatJob("j", 1), time.Second) }, "10s", "20ms").Should(Equal(accepted))
 		Eventually(func() any { return c.fleet.Running("w0") }, "5s", "1ms").Should(HaveLen(1))
 		late := severed.sever()
+		list(c)
 		c.fleet.Restart("w0", 0, restartSize)
 		c.fleet.StartLate(timer.Boot(), cairnbay.AgentTarget{Worker: "w0"}, late)
 		Expect(c.fleet.Running("w0")).To(HaveLen(1))
@@ -139,16 +140,31 @@
 		Eventually(c.fleet.Starts, "15s", "10ms").Should(BeNumerically(">", 2))
 		Expect(c.fleet.Broken()).To(BeEmpty())
 	},
-	Entry("under the same owner", func(*restartCluster) {}),
-	Entry("under the same owner, though it is no longer listed", func(c *restartCluster) { c.listElsewhere("w0") }),
-	Entry("under the next owner", (*restartCluster).replaceOwner),
-	Entry("under its owner after a restart", (*restartCluster).restartOwner),
-	Entry("under its owner after a restart, though it is no longer listed", func(c *restartCluster) {
-		c.listElsewhere("w0")
+	Entry("under the same owner", listHere, untouched),
+	Entry("under the same owner, though it is no longer listed", listHere, listElsewhere),
+	Entry("under the next owner", listHere, (*restartCluster).replaceOwner),
+	Entry("under its owner after a restart", listHere, (*restartCluster).restartOwner),
+	Entry("under its owner after a restart, though it is no longer listed", listHere, func(c *restartCluster) {
+		listElsewhere(c)
 		c.restartOwner()
 	}),
+	Entry("under the same owner, though it is listed in another class only", listElsewhere, untouched),
+	Entry("under its owner after a restart, though it is listed in another class only", listElsewhere, (*restartCluster).restartOwner),
+	Entry("under its owner after a restart, to which it is listed in another class only", listFormer, func(c *restartCluster) {
+		c.restartOwner()
+		c.listBorn("w0", 0)
+		listElsewhere(c)
+	}),
 )
 
+// listHere, listElsewhere and listFormer set what the list tells of the next run of a worker:
+// its class is the same or another one, or the former run is still listed.
+func listHere(*restartCluster)        {}
+func listElsewhere(c *restartCluster) { c.listElsewhere("w0") }
+func listFormer(c *restartCluster)    { c.listBorn("w0", c.born("w0")) }
+
+func untouched(*restartCluster) {}
+
 // restartingAgent restarts a worker just before the next start, once armed, and severs it
 // after that start.
 type restartingAgent struct {
--- a/internal/process/drive/restart_test.go
+++ b/internal/process/drive/restart_test.go
@@ -45,6 +45,8 @@
 type restartCluster struct {
 	ownedCluster
 	names []string
+	// address is that of all workers.
+	address string
 	// listedBorn changes the starts of processes that the list tells, by the worker's
 	// name; listedElsewhere are the workers that the list says to be of another class.
 	listedBorn      map[string]int64
@@ -73,17 +75,13 @@
 	}
 	server := httptest.NewServer(stand.Worker(c.fleet))
 	DeferCleanup(server.Close)
+	c.address = server.Listener.Addr().String()
 	c.agent = platform.NewAgent(&net.Dialer{}, time.Second)
 	c.listed = func() (entries []cairnbay.WorkerEntry) {
 		for _, life := range c.fleet.Lives() {
-			if c.listedElsewhere[life.Address] {
-				continue
+			if !c.listedElsewhere[life.Address] {
+				entries = append(entries, c.entry(class, life))
 			}
-			born := cmp.Or(c.listedBorn[life.Address], life.BornUnixMS)
-			entry, err := platform.DecodeWorker(platform.WorkerPrefix+life.Address,
-				stand.Entry(class, server.Listener.Addr().String(), "r", life.Capacity, born))
-			Expect(err).NotTo(HaveOccurred())
-			entries = append(entries, entry)
 		}
 		return entries
 	}
@@ -91,6 +89,7 @@
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		if c.owner != nil {
+			c.owner.SetElsewhere(c.elsewhere())
 			c.owner.SetWorkers(c.entries())
 		}
 	}))
@@ -98,6 +97,24 @@
 	return c
 }
 
+// entry is what the list tells of a worker of a class.
+func (c *restartCluster) entry(class string, life agent.Life) cairnbay.WorkerEntry {
+	born := cmp.Or(c.listedBorn[life.Address], life.BornUnixMS)
+	entry, err := platform.DecodeWorker(platform.WorkerPrefix+life.Address, stand.Entry(class, c.address, "r", life.Capacity, born))
+	Expect(err).NotTo(HaveOccurred())
+	return entry
+}
+
+// elsewhere returns the entries of the workers of another class.
+func (c *restartCluster) elsewhere() (entries []cairnbay.WorkerEntry) {
+	for _, life := range c.fleet.Lives() {
+		if c.listedElsewhere[life.Address] {
+			entries = append(entries, c.entry("other", life))
+		}
+	}
+	return entries
+}
+
 // listBorn changes, or with 0 corrects, the start of a process that the list tells.
 func (c *restartCluster) listBorn(name string, born int64) {
 	c.mu.Lock()
--- a/internal/process/node/workerlist.go
+++ b/internal/process/node/workerlist.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -28,6 +30,10 @@
 	// that expire during an outage of the store reappear, so a deleted entry stays
 	// in entries until missingTimeout.
 	missing map[string]time.Duration
+	// elsewhere holds the entries of the workers of other shards that tell the start of
+	// their process. moved says that their IDs or addresses have changed.
+	elsewhere map[string]cairnbay.WorkerEntry
+	moved     bool
 }
 
 const (
@@ -48,6 +54,7 @@
 	w := &workerList{
 		node: node, shard: shard, drive: shardDrive,
 		entries: make(map[string]cairnbay.WorkerEntry), missing: make(map[string]time.Duration),
+		elsewhere: make(map[string]cairnbay.WorkerEntry),
 		expiryDue: make(chan struct{}, 1), closing: make(chan struct{}),
 	}
 	w.mirror = mirror.New(mirror.Config{
@@ -87,6 +94,7 @@
 			if _, ok := w.entries[key]; ok {
 				w.missing[key] = w.node.config.Clock.Now()
 			}
+			w.removeElsewhere(key)
 			continue
 		}
 		entry, err := w.node.config.Platform.DecodeWorker(key, change.Entry.Value)
@@ -101,14 +109,35 @@
 		divided, ok := w.node.layout(entry.Class)
 		if !ok || divided.ShardOfWorker(&entry) != w.shard {
 			delete(w.entries, key)
+			w.addElsewhere(key, entry)
 			continue
 		}
 		w.entries[key] = entry
 		delete(w.missing, key)
+		w.removeElsewhere(key)
 	}
 	w.publish()
 }
 
+// addElsewhere notes a worker of another shard, whose process may be a later run of a worker
+// of this one; the caller holds w.mu.
+func (w *workerList) addElsewhere(key string, entry cairnbay.WorkerEntry) {
+	if cairnbay.WorkerName(entry.ID) == entry.ID {
+		return
+	}
+	former := w.elsewhere[key]
+	w.elsewhere[key] = entry
+	w.moved = w.moved || former.ID != entry.ID || former.Address != entry.Address
+}
+
+// removeElsewhere forgets a worker of another shard; the caller holds w.mu.
+func (w *workerList) removeElsewhere(key string) {
+	if _, ok := w.elsewhere[key]; ok {
+		delete(w.elsewhere, key)
+		w.moved = true
+	}
+}
+
 // expire removes entries that have been missing for missingTimeout.
 func (w *workerList) expire() {
 	w.mu.Lock()
@@ -129,9 +158,9 @@
 
 // publish passes the entries to the drive; the caller holds w.mu.
 func (w *workerList) publish() {
-	entries := make([]cairnbay.WorkerEntry, 0, len(w.entries))
-	for _, entry := range w.entries {
-		entries = append(entries, entry)
+	if w.moved {
+		w.moved = false
+		w.drive.SetElsewhere(slices.Collect(maps.Values(w.elsewhere)))
 	}
-	w.drive.SetWorkers(entries)
+	w.drive.SetWorkers(slices.Collect(maps.Values(w.entries)))
 }
