--- a/internal/process/drive/drive.go
+++ b/internal/process/drive/drive.go
@@ -96,6 +96,8 @@
 	// since: a worker that is back refuses a lower one.
 	raisedToken uint64
 	listed      map[string]cairnbay.WorkerEntry
+	// elsewhere are the workers of other shards that tell the start of their process.
+	elsewhere []cairnbay.WorkerEntry
 	// listRead says that the list has been read at least once.
 	listRead bool
 	// replaced holds the workers that the list still contains although another worker
@@ -319,6 +321,7 @@
 			}
 		}
 	}
+	d.supersedeMoved()
 	d.endRecovery()
 	if len(workers) == 0 {
 		d.journalSettled()
