drive: a run that refuses its owner before it is listed keeps its tasks until its lease ends

What callers saw: a task ran twice (TWICE) in a spec; nobody reported it.

Cause: a restarted worker that the list does not show was dropped with its attempts as soon as it refused the token, since it may work for another class. What it runs by a late start goes on: the owner of the other class has to reach it first, and may not.

Change: such a run is dropped at once only if nothing is placed there. Otherwise it fails its renewals like any other, and its attempts are lost once its lease has certainly ended.

--- a/internal/process/drive/lineage.go
+++ b/internal/process/drive/lineage.go
@@ -123,7 +123,7 @@
 	case l.superseded || l.dropped || token < l.lineage.token:
 		// The worker refused what was meant for a former run.
 	case l.unlisted:
-		if !d.formerMayRun(l.lineage) {
+		if !d.formerMayRun(l.lineage) && (l.lapsed || len(d.core.PlacedOn(l.entry.ID)) == 0) {
 			d.drop(l, "unlisted")
 		}
 	default:
--- a/internal/process/drive/relisted_test.go
+++ b/internal/process/drive/relisted_test.go
@@ -1,6 +1,8 @@
 package drive_test
 
 import (
+	"context"
+	"math"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -25,6 +27,22 @@
 	a.severed = false
 }
 
+// startLate starts a task on a worker, which restarts and carries out that start again. The
+// list does not tell of the restart.
+func (c *restartCluster) startLate(name string) {
+	severed := &severedAgent{Agent: c.agent, worker: name}
+	c.agent = severed
+	c.replaceOwner()
+	c.useOnly(name)
+	c.acceptTask("j", 1)
+	c.listBorn(name, c.born(name))
+	late := severed.sever()
+	c.fleet.Restart(name, 0, restartSize)
+	c.fleet.StartLate(timer.Boot(), cairnbay.AgentTarget{Worker: name}, late)
+	Expect(c.fleet.Running(name)).To(HaveLen(1))
+	severed.reconnect()
+}
+
 const (
 	// dropTime is enough for a worker that is cut off and not listed to be dropped.
 	dropTime = 8 * time.Second
@@ -61,18 +79,7 @@
 var _ = DescribeTable("the ends of a restarted worker are read whenever the list shows the restart", func(listedAfter time.Duration) {
 	c := newRestartCluster()
 	c.runTime.Store(int64(longRun))
-	severed := &severedAgent{Agent: c.agent, worker: "w0"}
-	c.agent = severed
-	c.replaceOwner()
-	c.useOnly("w0")
-	Eventually(func() any { return submit(c.owner, flatJob("j", 1), time.Second) }, "10s", "20ms").Should(Equal(accepted))
-	Eventually(func() any { return c.fleet.Running("w0") }, "5s", "1ms").Should(HaveLen(1))
-	c.listBorn("w0", c.born("w0"))
-	late := severed.sever()
-	c.fleet.Restart("w0", 0, restartSize)
-	c.fleet.StartLate(timer.Boot(), cairnbay.AgentTarget{Worker: "w0"}, late)
-	Expect(c.fleet.Running("w0")).To(HaveLen(1))
-	severed.reconnect()
+	c.startLate("w0")
 	c.useAll()
 	time.Sleep(listedAfter)
 	c.listBorn("w0", 0)
@@ -85,6 +92,20 @@
 	Entry("after its task has ended", longRun+time.Second),
 )
 
+// Guards against tasks that run twice (TWICE): a run that the list did not show was dropped with
+// what it ran, as it refused the token of this owner for that of another class.
+var _ = It("the tasks of a restarted worker that refuses its owner before it is listed count as running until its lease has ended", func() {
+	c := newRestartCluster()
+	c.runTime.Store(int64(3 * maxWorkerLease))
+	c.startLate("w0")
+	time.Sleep(restartPause) // A renewal for the former run tells of the next one.
+	_, err := c.fleet.Hold(context.Background(), cairnbay.AgentTarget{Worker: "w0"}, cairnbay.AgentHold{Token: math.MaxInt64})
+	Expect(err).NotTo(HaveOccurred())
+	c.useAll()
+	Eventually(c.fleet.Starts, "15s", "10ms").Should(Equal(3))
+	Expect(c.fleet.Broken()).To(BeEmpty())
+})
+
 // Guards against tasks that run twice (TWICE): the release of a worker that was dropped before
 // its record was stored came after the record by which it was used again.
 var _ = DescribeTable("a worker that was dropped and is used again is waited for by the next owner", func(outage bool) {
