--- a/internal/process/drive/long_lease_test.go
+++ b/internal/process/drive/long_lease_test.go
@@ -282,6 +282,18 @@
 	Entry("under its owner after a restart", (*restartCluster).restartOwner),
 )
 
+var _ = It("an attempt whose first start had no answer counts as running for the usual lease once that start is older than the longest one", func() {
+	c := newRestartCluster()
+	c.runTime.Store(int64(3 * maxWorkerLease))
+	agent := c.useRestarting(true)
+	agent.lose.Store(true)
+	c.acceptTask("j", 1)
+	time.Sleep(maxWorkerLease + renewals)
+	agent.sever()
+	c.useAll()
+	Eventually(c.fleet.Starts, maxWorkerLease, "10ms").Should(Equal(2))
+})
+
 // See docs/incidents/restarted_then_cut.md, "What remains".
 var _ = DescribeTable("a start for the former run of a worker that nobody reaches does not run its task twice",
 	func(disrupt func(c *restartCluster, agent *restartingAgent)) {
--- a/internal/process/sched/forget_test.go
+++ b/internal/process/sched/forget_test.go
@@ -11,7 +11,7 @@
 )
 
 var _ = Describe("the crashes of silent workers", func() {
-	It("do not keep jobs in memory beyond their retention", func() {
+	DescribeTable("do not keep jobs in memory beyond their retention", func(inParts bool) {
 		const retention = time.Minute
 		core := New(Config{Retention: retention})
 		now := Moment{BootTime: time.Second}
@@ -26,6 +26,10 @@
 			for _, action := range core.Plan(now) {
 				core.HandleStart(now, action.Start, nil)
 			}
+			if inParts {
+				kept := []PlacedAttempt{{cairnbay.WorkflowTask{Job: jobs[0]}, 1}}
+				Expect(core.HandlePartialLoss(now, worker, LossSilent, kept).Lost).To(HaveLen(1))
+			}
 			core.HandleWorkerLoss(now, worker, LossSilent)
 			Expect(core.HandleWorkerLoss(now, worker, LossCrashed).Records).To(HaveLen(2))
 		}
@@ -45,5 +49,8 @@
 		now.BootTime += retention + time.Second
 		Expect(core.RemoveExpired(now)).To(Equal([]string{"waiting"}))
 		Expect(core.crashes).To(BeEmpty())
-	})
+	},
+		Entry("for a worker lost as a whole", false),
+		Entry("for a worker lost in two parts", true),
+	)
 })
