Ask the store before two refused tokens end an owner

What callers saw: a class loses its owner for a takeover though no newer one exists, when two workers join it that the owner of another class has called with a higher token, as it does with those that have restarted into this class.

Cause: two refusals by workers that tell their start were taken as proof of a newer owner. With one such worker the owner raises its token and goes on; two at once are no better proof, as workers of another class come in groups.

Change: after two refusals the owner reads the fence in the store. If that shows this claim, it goes on and calls the workers with a raised token; if it shows another one, or the store does not answer, it stops as before.

Evidence: go test ./internal/process/drive -ginkgo.focus "though two have been called" failed before in 3 of 3 runs ("fenced by a newer owner", reporter w8 or w9) and passes now in 5 of 5. With -ginkgo.focus "that restarts under its old name|restarted worker counts|answered nothing but|newer owner|fence|replaced": 29 of 29 specs pass, one run.

--- a/internal/process/drive/lineage.go
+++ b/internal/process/drive/lineage.go
@@ -108,13 +108,14 @@
 }
 
 // minRefusals is the number of restartable workers that must refuse the token of this
-// owner for a newer one to be assumed. A single one may have been called by the owner of
-// another class, for which it works now or has worked.
+// owner for a newer one to be assumed, unless the store shows none. Each may have been
+// called by the owner of another class, for which it works now or has worked.
 const minRefusals = 2
 
 // handleFencedCall handles the refusal of a call with the token. It stops this owner and
 // returns true if there is a newer one.
 func (d *Drive) handleFencedCall(l *link, token uint64) (fenced bool) {
+	suspected := false
 	d.mu.Lock()
 	switch {
 	case !l.restartable():
@@ -129,9 +130,15 @@
 		// A newer owner of this shard has a higher token than any that this one can get.
 		l.lineage.raise = true
 		d.refusals[l.entry.ID] = struct{}{}
-		fenced = len(d.refusals) >= min(minRefusals, d.presentLinks())
+		suspected = len(d.refusals) >= min(minRefusals, d.presentLinks())
 	}
 	d.mu.Unlock()
+	if suspected {
+		fenced = d.confirm(d.ctx) != nil
+		d.mu.Lock()
+		clear(d.refusals)
+		d.mu.Unlock()
+	}
 	if fenced {
 		d.handleFenced(l.entry.ID)
 	}
--- a/internal/process/drive/restart_test.go
+++ b/internal/process/drive/restart_test.go
@@ -349,6 +349,21 @@
 		Expect(c.fleet.Broken()).To(BeEmpty())
 	})
 
+	// Guards against a new owner for a class that two workers of another one have joined.
+	It("does not end its new owner though two have been called by the owner of their former class", func() {
+		c := newRestartCluster()
+		c.accept(c.owner, "before")
+		revision, err := c.store.Put(context.Background(), "other", nil, 0, 0)
+		Expect(err).NotTo(HaveOccurred())
+		c.mu.Lock()
+		for _, name := range []string{"w8", "w9"} {
+			c.fleet.Add(name, restartSize)
+			c.hold(name, uint64(revision))
+		}
+		c.mu.Unlock()
+		Eventually(func() int { return c.owner.Counts().Usable }, "10s", "20ms").Should(Equal(len(c.names) + 2))
+	})
+
 	It("counts as crashed under a task that crashes its workers", func() {
 		c := newRestartCluster()
 		c.accept(c.owner, deadlyJob)
