sched, drive: say what keeps lost tasks that last from running again

Callers saw tasks that last wait for up to 56 s after a data centre's workers had restarted. No log line told why: a step of which another task runs is left out of "step waits for the policy service".

"lost tasks wait to run again" names the cause, when it changes and each time the wait has doubled: recovery, quota, share of the workspace, trials, or those of the policy service and of room.

--- a/internal/process/drive/drive.go
+++ b/internal/process/drive/drive.go
@@ -466,6 +466,7 @@
 		d.logGangWaits()
 		if ticked {
 			d.logAdviceWaits()
+			d.logRestartWaits()
 		}
 	}
 	d.countStarts(actions)
--- a/internal/process/drive/waits.go
+++ b/internal/process/drive/waits.go
@@ -23,6 +23,18 @@
 	d.meters.stepsWaiting(d.core.WaitingSteps())
 }
 
+// logRestartWaits logs the steps of which tasks that last wait for long to run again; the
+// caller holds the lock.
+func (d *Drive) logRestartWaits() {
+	for _, wait := range d.core.TakeRestartWaits() {
+		d.config.Log.WithFields(logrus.Fields{
+			"job": wait.Step.Job, "step": wait.Step.Step, "queue": wait.Queue, "reason": wait.Reason,
+			"waited_ms": wait.Waited.Milliseconds(), "waiting": wait.Waiting, "suspects": wait.Suspects,
+			"trials": wait.Trials, "queue_risk": wait.QueueRisk,
+		}).Warn("lost tasks wait to run again")
+	}
+}
+
 // logGangWaits logs the gangs that have started, have become late or have ended without a
 // start; the caller holds the lock.
 func (d *Drive) logGangWaits() {
--- a/internal/process/sched/job.go
+++ b/internal/process/sched/job.go
@@ -84,9 +84,14 @@
 	// stopped.
 	gangAborting bool
 	advice       *advice
+	// restartWait is set while tasks that last, and have run, wait.
+	restartWait restartWait
 	// blockedAtChange is the value of Core.changeCount when planning the stage
 	// last yielded no action. The stage is skipped until the count grows.
-	blockedAtChange   uint64
+	blockedAtChange uint64
+	// heldByShare is set while the last plan left the stage out because of the share of its
+	// group.
+	heldByShare       bool
 	attemptsPerWorker map[string]int
 	// quotaHeldSince is since when a gang waits for room in the part of its workspace.
 	quotaHeldSince time.Duration
--- a/internal/process/sched/order.go
+++ b/internal/process/sched/order.go
@@ -213,7 +213,7 @@
 		return slices.Values(ranked)
 	}
 	order.overloaded, order.headroom = c.fairness.groupsByOverload()
-	order.hold = func(held *stage) { held.blockedAtChange = c.changeCount }
+	order.hold = func(held *stage) { held.blockedAtChange, held.heldByShare = c.changeCount, true }
 	return order.all(ranked)
 }
 
--- a/internal/process/sched/plan.go
+++ b/internal/process/sched/plan.go
@@ -100,6 +100,7 @@
 	if c.ticked {
 		c.ticked = false
 		c.updateAdviceWaits(now)
+		c.updateRestartWaits(now)
 		actions = append(actions, c.planEarlyAdvice(now)...)
 	}
 	return actions
@@ -204,6 +205,7 @@
 			break
 		}
 		stage := entry.stage
+		stage.heldByShare = false
 		c.noteGangLate(now, entry)
 		stageActions := c.planStage(now, stage, reservations)
 		if len(stageActions) == 0 {
--- a/internal/process/sched/sched.go
+++ b/internal/process/sched/sched.go
@@ -104,7 +104,9 @@
 	gangWaits []GangWait
 	// adviceWaits are the reports since the last TakeAdviceWaits, waitingSteps the result of
 	// WaitingSteps.
-	adviceWaits  []AdviceWait
+	adviceWaits []AdviceWait
+	// restartWaits are the reports since the last TakeRestartWaits.
+	restartWaits []RestartWait
 	waitingSteps map[AdviceWaitReason]int
 	// disturbedWorkers and silentWorkers are counted at each tick. plannedAt is the boot
 	// time of the last plan, reservations are those of its gangs.
