sched: tasks that last start again, whatever their workspace holds

Callers saw tasks that last wait for 27 to 56 s after many workers had restarted at once (LOST), on deployments with workspaces.

Cause: a workspace that holds more than its part of the class comes last, and then only while an eighth of the class is free. That also held back the tasks that it had lost: the others took what was free meanwhile, so that the tasks waited for as long as the class stayed full, without a call to the policy service though most workers were not asked about.

A step of which tasks have run before is planned by its precedence among the entitled work now. Only these tasks start so, and stop no others. Any task of a former owner's job counts as one, also for what a quota keeps free.

Waits of over 10 s remain, by other causes: room, and trials of suspects.

--- a/internal/process/sched/job.go
+++ b/internal/process/sched/job.go
@@ -89,9 +89,9 @@
 	// blockedAtChange is the value of Core.changeCount when planning the stage
 	// last yielded no action. The stage is skipped until the count grows.
 	blockedAtChange uint64
-	// heldByShare is set while the last plan left the stage out because of the share of its
-	// group.
-	heldByShare       bool
+	// replacesOnly is set in a plan if the share of its group lets the stage start no tasks
+	// but those that ran before.
+	replacesOnly      bool
 	attemptsPerWorker map[string]int
 	// quotaHeldSince is since when a gang waits for room in the part of its workspace.
 	quotaHeldSince time.Duration
--- a/internal/process/sched/order.go
+++ b/internal/process/sched/order.go
@@ -136,7 +136,7 @@
 func (o *stageOrder) tier(from, to int, yield func(rankedStage) bool) bool {
 	for i := from; i < to; i++ {
 		group := o.sorted[i].stage.job.group
-		if o.planned[i] || !o.pass.has(&o.sorted[i]) || o.pass < passRest && group.holdBack() {
+		if o.planned[i] || !o.pass.has(&o.sorted[i]) || o.holdsBack(group) && !o.sorted[i].replaces {
 			continue
 		}
 		if o.pass == passRest && group.overloads() {
@@ -159,7 +159,9 @@
 		} else {
 			heap.Fix(o, 0)
 		}
-		if entry := o.sorted[next]; o.pass == passRest && !o.mayTake(entry.stage) {
+		entry := o.sorted[next]
+		entry.replacesOnly = o.holdsBack(entry.stage.job.group)
+		if o.pass == passRest && !o.mayTake(entry.stage) {
 			o.hold(entry.stage)
 		} else if !yield(entry) {
 			return false
@@ -169,12 +171,25 @@
 	return true
 }
 
+// holdsBack reports whether the work of a group comes last, but for tasks that last and have
+// run before: these only replace what the group held when they were lost.
+func (o *stageOrder) holdsBack(g *group) bool {
+	return o.pass < passRest && g.holdBack()
+}
+
+// keepReplacing leaves only such tasks to a group that is held back from now on, and reports
+// whether it has any.
+func (o *stageOrder) keepReplacing(g *group) bool {
+	g.waiting = slices.DeleteFunc(g.waiting, func(i int) bool { return !o.sorted[i].replaces })
+	return len(g.waiting) > 0
+}
+
 // followChanges restores the order of the groups after a stage was planned.
 func (o *stageOrder) followChanges() {
 	for _, group := range o.changed {
 		switch {
 		case !group.stale || group.heapIndex == notInHeap:
-		case o.pass < passRest && group.holdBack():
+		case o.holdsBack(group) && !o.keepReplacing(group):
 			heap.Remove(o, group.heapIndex)
 		default:
 			group.current()
@@ -213,7 +228,7 @@
 		return slices.Values(ranked)
 	}
 	order.overloaded, order.headroom = c.fairness.groupsByOverload()
-	order.hold = func(held *stage) { held.blockedAtChange, held.heldByShare = c.changeCount, true }
+	order.hold = func(held *stage) { held.blockedAtChange = c.changeCount }
 	return order.all(ranked)
 }
 
--- a/internal/process/sched/place.go
+++ b/internal/process/sched/place.go
@@ -34,7 +34,7 @@
 	var faster fasterEnds
 	for i := range stage.tasks {
 		task := &stage.tasks[i]
-		if task.done || task.attempt != nil || task.notBefore > now.BootTime {
+		if task.done || task.attempt != nil || task.notBefore > now.BootTime || stage.replacesOnly && !stage.mayHaveRun(task) {
 			continue
 		}
 		if len(placed) >= room {
--- a/internal/process/sched/plan.go
+++ b/internal/process/sched/plan.go
@@ -205,7 +205,7 @@
 			break
 		}
 		stage := entry.stage
-		stage.heldByShare = false
+		stage.replacesOnly = entry.replacesOnly
 		c.noteGangLate(now, entry)
 		stageActions := c.planStage(now, stage, reservations)
 		if len(stageActions) == 0 {
@@ -281,12 +281,17 @@
 	urgency, precedence int
 	surplus             bool
 	latestStart         time.Duration
+	// replaces is set if tasks that last, and have run, wait; replacesOnly if the share of
+	// the group lets no others start.
+	replaces, replacesOnly bool
 }
 
 // rankStage ranks a stage. Nothing of a surplus job is entitled to be in time, so it never
 // precedes what is patient.
 func (c *Core) rankStage(now Moment, stage *stage) rankedStage {
-	ranked := rankedStage{stage: stage, urgency: c.urgency(now, stage), latestStart: c.latestStart(stage)}
+	ranked := rankedStage{
+		stage: stage, urgency: c.urgency(now, stage), latestStart: c.latestStart(stage), replaces: stage.replaces(),
+	}
 	ranked.precedence = precedence(ranked.urgency)
 	if c.isSurplus(stage.job) {
 		ranked.surplus, ranked.precedence = true, max(ranked.precedence, urgencyPatient)
--- a/internal/process/sched/preempt.go
+++ b/internal/process/sched/preempt.go
@@ -23,7 +23,7 @@
 // lower-priority tasks with checkpoints. Otherwise a burst of urgent work waits
 // behind the lower-priority work that fills the workers.
 func (c *Core) preempt(now Moment, stage *stage, reservations gangReservations) {
-	if stage.spec.Gang || !c.mayPreempt(now, stage) {
+	if stage.spec.Gang || stage.replacesOnly || !c.mayPreempt(now, stage) {
 		return
 	}
 	wanted := stage.waiting - stage.waitingForFaster - c.waitingSuspects(stage)
--- a/internal/process/sched/quota.go
+++ b/internal/process/sched/quota.go
@@ -85,10 +85,16 @@
 // start.
 func (s *stage) replaces() bool {
 	return s.spec.LongRunning && slices.ContainsFunc(s.tasks, func(one task) bool {
-		return !one.done && one.attempt == nil && one.lastAttempt > 0
+		return !one.done && one.attempt == nil && s.mayHaveRun(&one)
 	})
 }
 
+// mayHaveRun reports whether a task was ordered before, as far as is known: any of a former
+// owner's may have been.
+func (s *stage) mayHaveRun(task *task) bool {
+	return task.lastAttempt > 0 || s.job.inherited
+}
+
 // heldByQuota reports whether nothing of the stage may start because of its workspace.
 // For a limited time a gang that waits for room in the part holds back the stages of its
 // workspace that come after it.
--- a/internal/process/sched/restartwait.go
+++ b/internal/process/sched/restartwait.go
@@ -16,9 +16,6 @@
 	RestartWaitRecovery RestartWaitReason = "recovery"
 	// RestartWaitQuota is a lack of room in the part of the workspace.
 	RestartWaitQuota RestartWaitReason = "quota"
-	// RestartWaitShare is a workspace that holds more than its part of the class, whose work
-	// comes last.
-	RestartWaitShare RestartWaitReason = "share"
 	// RestartWaitTrialBound is a suspect that waits until fewer trials are under way,
 	// RestartWaitTrialWorker one that waits for a worker of its own.
 	RestartWaitTrialBound  RestartWaitReason = "trial_bound"
@@ -83,8 +80,6 @@
 		return RestartWaitRecovery
 	case c.quotaRoom(now, stage) < unit:
 		return RestartWaitQuota
-	case stage.heldByShare:
-		return RestartWaitShare
 	case c.waitsForTrial(stage):
 		return RestartWaitTrialBound
 	case stage.advice != nil && (stage.advice.inFlight || c.fittingNow(now, stage, unit, false) < unit):
