sched: crashes with a common cause are not blamed on tasks

Callers saw tasks that last wait for a trial each, one after the other, when many workers restarted at one instant just after they had started them.

Cause: each of those crashes had a suspect, and each raised the share of the queue's starts that crash their workers; above a tenth every start of the queue is a trial, of which a step reserves one worker at a time.

A task crashes the workers that start it. So two workers of a data centre that are lost within a second, and on which nothing had just started, show another cause: the suspects of the losses there and then are acquitted of them, also of what was noted before the second such worker was known, and the share of the queue is taken back. Marks stay on tasks that end, which may crash workers late. A wide job or a gang is a suspect on each of its workers.

--- a/internal/process/sched/crash.go
+++ b/internal/process/sched/crash.go
@@ -44,6 +44,8 @@
 	unknownSuspects int
 	// explained is set once one of the suspects has been given up.
 	explained bool
+	// raises are what the crash has added to the risk of queues.
+	raises []riskRaise
 }
 
 // GivenUp is a job that has failed because one of its tasks, or gangs, crashes the
@@ -105,6 +107,7 @@
 			}, suspect)
 		}
 	}
+	c.noteLoss(now, lost, noted)
 	if len(noted.marked) == 0 {
 		return nil
 	}
@@ -122,7 +125,7 @@
 		if h.needsTrial() {
 			queue := c.queueRisk(h.stage)
 			queue.until = now.BootTime + riskTime
-			queue.share += riskSmoothing * (h.share() - queue.share)
+			confirmed.raises = append(confirmed.raises, queue.raise(h.share()))
 		}
 	}
 	var records []Record
@@ -146,7 +149,7 @@
 	}
 	delete(c.crashes, worker)
 	for _, h := range withdrawn.marked {
-		h.marks = slices.DeleteFunc(h.marks, func(mark crashMark) bool { return mark.crash == withdrawn })
+		h.forget(withdrawn)
 	}
 	withdrawn.suspects = nil
 }
--- a/internal/process/sched/history.go
+++ b/internal/process/sched/history.go
@@ -128,6 +128,11 @@
 	return records
 }
 
+// forget removes the mark of a crash.
+func (h *crashHistory) forget(forgotten *crash) {
+	h.marks = slices.DeleteFunc(h.marks, func(mark crashMark) bool { return mark.crash == forgotten })
+}
+
 // clear removes the task from the suspects of all crashes, which it returns.
 func (h *crashHistory) clear() (cleared []*crash) {
 	if h == nil {
--- a/internal/process/sched/risk.go
+++ b/internal/process/sched/risk.go
@@ -22,6 +22,24 @@
 	share float64
 }
 
+// riskRaise is what a crash has added to the share of a queue.
+type riskRaise struct {
+	queue *queueRisk
+	added float64
+}
+
+// raise counts a start that has crashed its worker with a probability.
+func (r *queueRisk) raise(probability float64) riskRaise {
+	added := riskSmoothing * (probability - r.share)
+	r.share += added
+	return riskRaise{queue: r, added: added}
+}
+
+// undo takes the raise back, as far as later starts have not outweighed it.
+func (r riskRaise) undo() {
+	r.queue.share = max(r.queue.share-r.added, 0)
+}
+
 // queueRisk returns the risk of the stage's queue, and adds it where it is missing.
 func (c *Core) queueRisk(stage *stage) *queueRisk {
 	name := stage.job.workflow.Queue.Name
