sched: a task that lasts loses its marks by running, whatever their number

A task that lasts with three marks of crashes stayed on trial for as long as it ran: its worker took no other task, its weight counted against all other trials, and it never lost the marks, against docs/design/crashes.md.

Cause: proveAttempt leaves an attempt of a task with so many marks on trial, since it may crash its worker late. That holds for tasks that end.

--- a/internal/process/sched/crash.go
+++ b/internal/process/sched/crash.go
@@ -238,7 +238,8 @@
 	}
 	c.observeHarmlessStart(a)
 	h := a.stage.history(a.task)
-	if h.recurring() {
+	// A task that ends may still crash its worker late.
+	if h.recurring() && !a.stage.spec.LongRunning {
 		return nil
 	}
 	c.endTrial(a)
--- a/internal/process/sched/crash_test.go
+++ b/internal/process/sched/crash_test.go
@@ -16,6 +16,8 @@
 	// maxCrashes is how often a task may start though it crashes its workers: a third
 	// start after three crashes breaks a rule.
 	maxCrashes = 5
+	// recurringCrashes is the number of crashes from which a task may crash its workers late.
+	recurringCrashes = 3
 	// plainCrashes is the mean interval of crashes that no task causes.
 	plainCrashes = 2 * time.Second
 	// crashWorkers is the number of workers, of 16 cores each.
@@ -396,3 +398,32 @@
 		Expect(core.Counts().Running).To(Equal(1))
 	})
 })
+
+var _ = Describe("a task that lasts under which workers have crashed with others to blame", func() {
+	It("is cleared by running, and leaves its worker to others", func() {
+		core, now := sched.New(config), sched.Moment{BootTime: time.Second, UnixMS: 1000}
+		job := singleStep("j", quotes, 1, cores(1, 100), time.Hour)
+		job.Steps[0].LongRunning = true
+		core.Accept(now, job, false)
+		core.Accept(now, singleStep("other", quotes, recurringCrashes, cores(8, 100), time.Hour), false)
+		for i := range recurringCrashes {
+			for _, suspect := range []cairnbay.WorkflowTask{task("j", 0), task("other", i)} {
+				core.Replay(now, sched.Record{
+					Kind: sched.RecordCrashed, Task: suspect, Attempt: i + 1, Worker: fmt.Sprint("gone", i), Suspect: true, Started: true,
+				})
+			}
+		}
+		core.SetWorker(cairnbay.WorkerEntry{ID: "a", Address: "a", Capacity: cores(4, 4000)})
+		core.HandleHold(now, "a", now.BootTime, cairnbay.AgentState{})
+		actions := core.Plan(now)
+		Expect(actions).To(HaveLen(1))
+		Expect(actions[0].Start.Trial).To(BeTrue())
+		core.HandleStart(now, actions[0].Start, nil)
+		now.BootTime += time.Second
+		state := runs(cairnbay.AgentTask{Task: task("j", 0), Attempt: actions[0].Start.Attempt})
+		state.Clock = now.BootTime
+		core.HandleHold(now, "a", now.BootTime, state)
+		core.Accept(now, singleStep("next", models, 1, cores(1, 100), time.Second), false)
+		Expect(core.Plan(now)).To(ConsistOf(HaveField("Start.Task", task("next", 0))))
+	})
+})
