--- a/internal/process/sched/job.go
+++ b/internal/process/sched/job.go
@@ -84,9 +84,14 @@
 	// stopped.
 	gangAborting bool
 	advice       *advice
+	// restartWait is set while tasks that last, and have run, wait.
+	restartWait restartWait
 	// blockedAtChange is the value of Core.changeCount when planning the stage
 	// last yielded no action. The stage is skipped until the count grows.
-	blockedAtChange   uint64
+	blockedAtChange uint64
+	// replacesOnly is set in a plan if the share of its group lets the stage start no tasks
+	// but those that ran before.
+	replacesOnly      bool
 	attemptsPerWorker map[string]int
 	// quotaHeldSince is since when a gang waits for room in the part of its workspace.
 	quotaHeldSince time.Duration
--- a/internal/process/sched/sched.go
+++ b/internal/process/sched/sched.go
@@ -87,6 +87,8 @@
 	// crashes are those of workers that were silent, and may be cut off and answer
 	// again, and those read from the store, by worker ID.
 	crashes map[string]*crash
+	// losses are those of the last lossMemory.
+	losses []loss
 	// queueRisks holds the queues of which some tasks crash their workers, by name.
 	queueRisks map[string]*queueRisk
 	// givenUp are the jobs given up since the last TakeGivenUp.
@@ -104,7 +106,9 @@
 	gangWaits []GangWait
 	// adviceWaits are the reports since the last TakeAdviceWaits, waitingSteps the result of
 	// WaitingSteps.
-	adviceWaits  []AdviceWait
+	adviceWaits []AdviceWait
+	// restartWaits are the reports since the last TakeRestartWaits.
+	restartWaits []RestartWait
 	waitingSteps map[AdviceWaitReason]int
 	// disturbedWorkers and silentWorkers are counted at each tick. plannedAt is the boot
 	// time of the last plan, reservations are those of its gangs.
