sched: start best-effort tasks beside serving ones while the tails allow it

Cause: chooseWorker never placed a best-effort task on a worker with a serving one. The rule stood in for the promise that tails keep below their targets; the reported tails were read and not used. Class: an exclusion without an end.

Change: workers without serving tasks are preferred. Beside serving tasks a best-effort one starts while their reported tails are at most 0.7 of their targets, one at a time and worker. Above 0.9 the latest is stopped, above the target all (cause disturbs_serving), and the worker pauses for such starts, 1 s doubling to 32 s. Not built: throttling instead of stops, which the drive cannot carry out yet.

The spec "separates best-effort tasks from serving ones" wanted the fault: nothing may start beside a tail of 0. It has the same bound for a tail near its target now; that both kinds stay apart where another worker has room is a new spec.

--- a/internal/fake/agent/agent.go
+++ b/internal/fake/agent/agent.go
@@ -24,6 +24,9 @@
 	// Slowness is the factor by which a task that starts now takes longer on a worker,
 	// by its name; nil for 1.
 	Slowness func(worker string) float64
+	// Load is the load that a worker reports of a task while these tasks run there; nil
+	// for 0.
+	Load func(task cairnbay.WorkflowTask, running []cairnbay.WorkflowTask) int
 	// Fails says whether an attempt ends failed; nil for never.
 	Fails func(task cairnbay.WorkflowTask, attempt int) bool
 	// Size is what a task takes.
@@ -467,11 +470,20 @@
 		one := w.running[task]
 		state.Running = append(state.Running, cairnbay.AgentTask{
 			Task: task, Attempt: one.attempt, Percent: one.percent(f.config.Now()), Checkpoint: f.checkpoint(task, one),
+			Load: f.load(task, w),
 		})
 	}
 	return state, nil
 }
 
+// load is the load that a worker reports of a task.
+func (f *Fleet) load(task cairnbay.WorkflowTask, w *worker) int {
+	if f.config.Load == nil {
+		return 0
+	}
+	return f.config.Load(task, w.inOrder())
+}
+
 // acknowledged notes an end done, of a whole gang for any of its members.
 func (f *Fleet) acknowledged(w *worker, end cairnbay.AgentEnd) {
 	for _, task := range f.represented(end.Task) {
--- a/internal/process/sched/result.go
+++ b/internal/process/sched/result.go
@@ -206,6 +206,7 @@
 		result.Records = append(result.Records, c.handleRunning(now, worker, state.Clock, running)...)
 	}
 	c.judgeProgress(now, worker)
+	c.judgeSharing(now, worker)
 	if state.EndsTruncated {
 		return result
 	}
@@ -242,6 +243,7 @@
 		worker.health.addSuccess()
 	}
 	c.sampleProgress(now, a, clock, running.Percent)
+	a.noteTail(now, running.Load)
 	c.checkProgress(now, a, clock)
 	if a.task != nil {
 		former := a.task.checkpoint
--- a/internal/process/sched/worker.go
+++ b/internal/process/sched/worker.go
@@ -46,6 +46,8 @@
 	logSlowness float64
 	// clock is the worker's clock in its latest answer.
 	clock time.Duration
+	// sharing is that of the worker between best-effort and serving tasks.
+	sharing sharing
 	// speed is what is known of the worker's speed, nil if nothing is learned.
 	speed *learn.Worker
 }
@@ -103,6 +105,8 @@
 	predicted time.Duration
 	// progress is the recent progress, for attempts whose slowness counts.
 	progress progress
+	// tail is that of a serving attempt.
+	tail tail
 	// stopCause is why the attempt is being stopped, empty while it is not.
 	stopCause EndCause
 	// stopSentAt is when the last stop was sent, stopAnsweredAt when one was
@@ -120,8 +124,9 @@
 
 // Causes of a stop. CauseStartUnanswered is also used for a running attempt
 // that its worker no longer lists, CauseOrphan for one whose task is unknown,
-// done or placed elsewhere, CauseDone where another attempt completed the task, and
-// CauseStraggling for one that ends sooner on another worker.
+// done or placed elsewhere, CauseDone where another attempt completed the task,
+// CauseStraggling for one that ends sooner on another worker, and CauseDisturbing for a
+// best-effort one beside a serving task whose tail is near its target.
 const (
 	CauseCancelled       EndCause = "cancelled"
 	CausePreempted       EndCause = "preempted"
@@ -131,6 +136,7 @@
 	CauseStalled         EndCause = "no_progress"
 	CauseDone            EndCause = "already_done"
 	CauseStraggling      EndCause = "slow_progress"
+	CauseDisturbing      EndCause = "disturbs_serving"
 )
 
 // ranAtLeast is how long the worker is known to have run the attempt, on its own clock,
