sched: start serving tasks beside best-effort ones

What callers would see: a job that lasts and serves never starts while best-effort work that lasts runs on each worker.

Cause: the other half of the same rule in chooseWorker, which kept serving tasks off workers with best-effort ones whatever these do.

Change: such workers have a placement cost above all others instead. Best-effort tasks there give way by the rule of sharing.go if the tails come near their targets.

Result: no exclusion between the two kinds is left that lasts whatever they do.

--- a/internal/process/sched/place.go
+++ b/internal/process/sched/place.go
@@ -198,7 +198,7 @@
 		if limit := stage.spec.MaxPerWorker; limit > 0 && stage.attemptsPerWorker[worker.entry.ID] >= limit {
 			continue
 		}
-		if stage.spec.BestEffort && !worker.mayShare(now, stage) || stage.spec.TailTarget > 0 && worker.bestEffort > 0 {
+		if stage.spec.BestEffort && !worker.mayShare(now, stage) {
 			continue
 		}
 		cost := c.placementCost(stage.spec, task, worker, size) + worker.sharingPenalty(now, stage.spec)
--- a/internal/process/sched/sharing.go
+++ b/internal/process/sched/sharing.go
@@ -90,11 +90,14 @@
 
 // sharingPenalty is the placement cost of the tasks of the other kind on a worker.
 func (w *worker) sharingPenalty(now Moment, spec *cairnbay.WorkflowStep) float64 {
-	if !spec.BestEffort || w.serving == 0 {
-		return 0
+	switch {
+	case spec.BestEffort && w.serving > 0:
+		share, _ := w.highestTail(now)
+		return sharingCost + share
+	case spec.TailTarget > 0:
+		return sharingCost * float64(w.bestEffort)
 	}
-	share, _ := w.highestTail(now)
-	return sharingCost + share
+	return 0
 }
 
 // judgeSharing stops best-effort tasks on a worker that has reported a tail near its
--- a/internal/process/sched/sharing_test.go
+++ b/internal/process/sched/sharing_test.go
@@ -5,6 +5,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega/types"
 
 	"cairnbay"
 	"cairnbay/internal/process/sched"
@@ -116,6 +117,24 @@
 		Entry("with a tail over it", 6000),
 	)
 
+	// Guards against serving tasks that never start while each worker has best-effort ones.
+	DescribeTable("run beside each other where the best-effort tasks were first",
+		func(tail int, stops types.GomegaMatcher) {
+			effect = tail
+			fill("f", 3, time.Hour)
+			sim.advance(2 * time.Second)
+			serve("s", 3)
+			sim.advance(10 * time.Second)
+			for _, id := range sim.ids {
+				Expect(sim.fleet.Running(id)).To(ContainElement(HaveField("Job", "s")))
+			}
+			Expect(longestOver).To(BeNumerically("<=", time.Second))
+			Expect(sim.stops[sched.CauseDisturbing]).To(stops)
+		},
+		Entry("and do not disturb", 500, BeZero()),
+		Entry("and give way", 60000, BeNumerically(">=", 3)),
+	)
+
 	DescribeTable("share no worker whose tail is near its target or not known",
 		func(prepare func()) {
 			serve("s", 3)
