sched: ask again about workers while work that lasts fills the allowed ones

What callers would see: a job waits for as long as other work lasts on the only worker that the policy service has permitted, though it may permit others that it did not know at the first call.

Cause: workersToRecheck asks again only if the step does not fit on the allowed workers when they are empty. A worker full of work that lasts never is.

Change: the tasks are counted that fit beside work of others that lasts.

A step that is permitted a worker which is full for long otherwise, by work that ends, still does not ask.

--- a/internal/process/sched/advice.go
+++ b/internal/process/sched/advice.go
@@ -167,13 +167,13 @@
 
 // workersToRecheck lists the workers that are not allowed, those asked about longest ago
 // first, once the pause is over, if the step does not fit on those that are allowed, even
-// when nothing else runs there.
+// when nothing else runs there but what lasts.
 func (c *Core) workersToRecheck(now Moment, stage *stage) []*worker {
 	advice, needed := stage.advice, 1
 	if stage.spec.Gang || stage.spec.LongRunning {
 		needed = len(stage.tasks)
 	}
-	if !c.ticked || now.BootTime-advice.requestedAt < advice.recheckPause || c.fittingNow(now, stage, needed, true) >= needed {
+	if !c.ticked || now.BootTime-advice.requestedAt < advice.recheckPause || c.fittingBesideLasting(now, stage, needed) >= needed {
 		return nil
 	}
 	denied := c.candidates(now, stage, nil, func(w *worker) bool { return !advice.allowed(w.entry.ID) })
--- a/internal/process/sched/advice_test.go
+++ b/internal/process/sched/advice_test.go
@@ -275,9 +275,6 @@
 	})
 
 	It("asks again about workers while the allowed one is full of work that lasts", func() {
-		if os.Getenv("CAIRNBAY_SKIP_KNOWN_RED") != "" {
-			Skip("listed in KNOWN-RED.txt")
-		}
 		sim := policySimulation(4, cores(4, 4000), 1500*ms, nil)
 		known := false
 		sim.allow = func(step cairnbay.WorkflowTask, worker string) bool {
--- a/internal/process/sched/quotademand.go
+++ b/internal/process/sched/quotademand.go
@@ -148,6 +148,31 @@
 // fittingNow counts the tasks of a stage, up to limit, that fit on the workers now, or
 // on the workers if they were empty.
 func (c *Core) fittingNow(now Moment, stage *stage, limit int, empty bool) int {
+	return c.fitting(now, stage, limit, func(w *worker) int {
+		if empty {
+			return maxTasksOn(w, stage.spec)
+		}
+		return w.fitCount(stage.spec)
+	})
+}
+
+// fittingBesideLasting counts the tasks of a stage, up to limit, that fit on the workers
+// once all that ends there is gone.
+func (c *Core) fittingBesideLasting(now Moment, stage *stage, limit int) int {
+	return c.fitting(now, stage, limit, func(w *worker) int {
+		lasting := worker{entry: w.entry}
+		for _, a := range w.attempts {
+			if a.stage != nil && a.stage != stage && a.stage.spec.LongRunning {
+				lasting.used = lasting.used.Add(a.size)
+			}
+		}
+		return lasting.fitCount(stage.spec)
+	})
+}
+
+// fitting counts the tasks of a stage, up to limit, that fit on the workers that the policy
+// service has not ruled out. fits counts those that fit on one.
+func (c *Core) fitting(now Moment, stage *stage, limit int, fits func(*worker) int) int {
 	count := 0
 	for _, worker := range c.sortedWorkers {
 		if count >= limit {
@@ -159,11 +184,7 @@
 		if stage.advice != nil && stage.advice.decided(worker.entry.ID) && !stage.advice.allowed(worker.entry.ID) {
 			continue
 		}
-		if empty {
-			count += maxTasksOn(worker, stage.spec)
-		} else {
-			count += worker.fitCount(stage.spec)
-		}
+		count += fits(worker)
 	}
 	return min(count, limit)
 }
