sched: start jobs whose queue has got a policy service since their acceptance

What callers would see: a job accepted before its queue needs tickets never starts; workers refuse its starts for ever, one a second.

Cause: a job keeps the terms of the policy service that its queue had when it was accepted, so that without terms no ticket is ever requested, whatever the workers say.

Change: the first start that is refused for its ticket sets the job's terms, to those of the last accepted other job of the queue, or else to careful ones: a long call, a short validity.

Evidence: "starts a job of a queue that has got a policy service since its acceptance" failed before (0 starts in 60 s) and passes; "learns the terms of a policy service from the jobs that were accepted with them" fails if only the careful terms are used. go test ./internal/process/sched with CAIRNBAY_SKIP_KNOWN_RED=1: ok; no spec of it is skipped any more.

Not covered: a service whose calls take over 4 s as long as no other job of the queue tells its terms.

--- a/internal/process/sched/advice.go
+++ b/internal/process/sched/advice.go
@@ -84,6 +84,42 @@
 	return &counts.long
 }
 
+// assumedTerms are those of a policy service that is known only by the starts that workers
+// refuse: its calls may take long, and its tickets may expire soon.
+var assumedTerms = cairnbay.AdviceTerms{Decide: time.Second, PerWorker: 10 * time.Millisecond, Valid: time.Second}
+
+// learnAdviceTerms sets the terms of the policy service for a job whose queue had none when
+// it was accepted, and of which a worker has refused a start for its ticket. They are those
+// of the last other job of the queue, if one has any.
+func (c *Core) learnAdviceTerms(j *job) {
+	queue := &j.workflow.Queue
+	if queue.Advice != nil {
+		return
+	}
+	var latest *job
+	for _, other := range c.jobs {
+		if known := &other.workflow.Queue; known.Advice == nil || known.Path() != queue.Path() {
+			continue
+		}
+		if latest == nil || other.acceptedAfter(latest) {
+			latest = other
+		}
+	}
+	terms := assumedTerms
+	if latest != nil {
+		terms = *latest.workflow.Queue.Advice
+	}
+	queue.Advice = &terms
+}
+
+// acceptedAfter orders jobs by their acceptance.
+func (j *job) acceptedAfter(other *job) bool {
+	if j.firstAcceptedAt != other.firstAcceptedAt {
+		return j.firstAcceptedAt > other.firstAcceptedAt
+	}
+	return j.workflow.ID > other.workflow.ID
+}
+
 // SetAdviceLimits bounds the concurrent calls to the policy service by its
 // number of lanes; a lane processes one call at a time. The service does not
 // abort calls whose caller has given up, so calls beyond its capacity only
--- a/internal/process/sched/advice_test.go
+++ b/internal/process/sched/advice_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"os"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -292,10 +291,26 @@
 		Expect(sim.fleet.Starts()).To(Equal(2))
 	})
 
-	It("starts a job of a queue that has got a policy service since its acceptance", func() {
-		if os.Getenv("CAIRNBAY_SKIP_KNOWN_RED") != "" {
-			Skip("listed in KNOWN-RED.txt")
+	It("learns the terms of a policy service from the jobs that were accepted with them", func() {
+		sim := policySimulation(1, cores(4, 4000), 1500*ms, nil)
+		var expected []time.Duration
+		sim.trace = func(actions []sched.Action) {
+			for _, action := range actions {
+				if action.Advise != nil && action.Advise.Step.Job == "j" {
+					expected = append(expected, action.Advise.ExpectedDuration)
+				}
+			}
 		}
+		later := job(terms(300*ms, 0, 1500*ms), 1, cores(1, 1000), 5*time.Second)
+		later.ID = "later"
+		sim.submit(later, false, 5*time.Second)
+		sim.submit(job(nil, 1, cores(1, 1000), time.Second), false, time.Second)
+		sim.advance(3 * time.Second)
+		Expect(sim.core.State("j")).To(Equal(cairnbay.WorkflowCompleted))
+		Expect(expected).To(Equal([]time.Duration{300 * ms}))
+	})
+
+	It("starts a job of a queue that has got a policy service since its acceptance", func() {
 		sim := policySimulation(2, cores(4, 4000), 1500*ms, nil)
 		sim.submit(job(nil, 1, cores(1, 1000), time.Second), false, time.Second)
 		sim.advance(60 * time.Second)
--- a/internal/process/sched/ticket.go
+++ b/internal/process/sched/ticket.go
@@ -134,7 +134,7 @@
 	advice := a.stage.advice
 	if advice == nil {
 		// The queue had no policy service when the job was accepted.
-		a.task.notBefore = now.BootTime + invalidStartBackoff
+		c.learnAdviceTerms(a.stage.job)
 		return
 	}
 	advice.refusals++
