--- a/internal/process/sched/straggler.go
+++ b/internal/process/sched/straggler.go
@@ -188,6 +188,9 @@
 	copies := c.mayCopy(a.stage, a.task)
 	p, w := &a.progress, a.worker
 	switch {
+	case w.unreachable && !a.proven():
+		// It may have crashed the worker, and would crash another one.
+		return straggler{}, false
 	case copies && a.silent(now) && float64(c.silentWorkers) <= maxSilentShare*float64(len(c.workers)):
 	case w.unreachable:
 		// The run cannot be stopped for certain.
--- a/internal/process/sched/straggler_test.go
+++ b/internal/process/sched/straggler_test.go
@@ -149,6 +149,9 @@
 			runCase{queue: quotes, declared: 600 * time.Millisecond, own: []int{16}, siblings: []int{83}, silent: true}),
 		Entry("on a worker that is silent since, speculative", dup,
 			runCase{queue: quotes, declared: 600 * time.Millisecond, own: []int{50}, siblings: []int{83}, silent: true, speculative: true}),
+		// Guards against a second worker that crashes under a task before the loss of the first is certain (BUDGET).
+		Entry("on a worker that is silent since its start, speculative", none,
+			runCase{queue: quotes, declared: 600 * time.Millisecond, silent: true, speculative: true}),
 		Entry("five times slower than before, patient, with a checkpoint", move,
 			runCase{queue: patient, declared: 4 * time.Second, checkpoints: true, own: []int{12, 25, 27, 30}, siblings: []int{12, 25, 37, 50}}),
 		Entry("five times slower than before, patient, without a checkpoint", none,
