sched: inherited tasks that have never run withhold no room from their workspace

After a change of owner a job does not start, though its workspace has room.

Cause: room for lost tasks that last is withheld from the rest of their workspace.

Change: room is withheld, and a wait reported, for tasks that this owner has started only, as before. What the share of a workspace holds back still counts all that may have run.

--- a/internal/process/sched/plan.go
+++ b/internal/process/sched/plan.go
@@ -281,8 +281,8 @@
 	urgency, precedence int
 	surplus             bool
 	latestStart         time.Duration
-	// replaces is set if tasks that last, and have run, wait; replacesOnly if the share of
-	// the group lets no others start.
+	// replaces is set if tasks that last, and may have run, wait; replacesOnly if the share
+	// of the group lets no others start.
 	replaces, replacesOnly bool
 }
 
@@ -290,7 +290,7 @@
 // precedes what is patient.
 func (c *Core) rankStage(now Moment, stage *stage) rankedStage {
 	ranked := rankedStage{
-		stage: stage, urgency: c.urgency(now, stage), latestStart: c.latestStart(stage), replaces: stage.replaces(),
+		stage: stage, urgency: c.urgency(now, stage), latestStart: c.latestStart(stage), replaces: stage.mayReplace(),
 	}
 	ranked.precedence = precedence(ranked.urgency)
 	if c.isSurplus(stage.job) {
--- a/internal/process/sched/quota.go
+++ b/internal/process/sched/quota.go
@@ -85,10 +85,16 @@
 // start.
 func (s *stage) replaces() bool {
 	return s.spec.LongRunning && slices.ContainsFunc(s.tasks, func(one task) bool {
-		return !one.done && one.attempt == nil && s.mayHaveRun(&one)
+		return !one.done && one.attempt == nil && one.lastAttempt > 0
 	})
 }
 
+// mayReplace reports the same as far as is known: one of a former owner's tasks may have
+// ended under that owner.
+func (s *stage) mayReplace() bool {
+	return s.replaces() || s.spec.LongRunning && s.job.inherited && s.waiting > 0
+}
+
 // mayHaveRun reports whether a task was ordered before, as far as is known: any of a former
 // owner's may have been.
 func (s *stage) mayHaveRun(task *task) bool {
