--- a/internal/process/drive/link.go
+++ b/internal/process/drive/link.go
@@ -28,6 +28,8 @@
 	// journaled says that the journal lists the worker as used, so that the next
 	// owner assumes that tasks run there until the worker answers it.
 	journaled bool
+	// releases counts the records by which the worker is no longer used.
+	releases int
 	// clock is the worker's clock in its last answer, and answeredAt the boot time
 	// at which that answer arrived; both are 0 before the first one.
 	clock, answeredAt time.Duration
@@ -302,6 +304,7 @@
 		return
 	}
 	l.journaled = false
+	l.releases++
 	d.writer.Append([]*cairnbayv1.WorkRecord{{Released: l.entry.ID}}, d.logStoreFailure("worker release"))
 }
 
@@ -378,7 +381,7 @@
 	if result.LastSequence <= l.lastAcked(d) && len(records) == 0 {
 		return 0
 	}
-	return d.acknowledge(l, records, result)
+	return d.acknowledge(l, records, result, len(used) > 0)
 }
 
 // worksElsewhere says whether a run that is still not listed belongs to another class, or
@@ -415,12 +418,14 @@
 }
 
 // acknowledge stores records, after which the next renewal acknowledges their
-// ends to the worker. It returns the pause before that renewal.
-func (d *Drive) acknowledge(l *link, records []*cairnbayv1.WorkRecord, result sched.HoldResult) time.Duration {
+// ends to the worker. used says that one of the records lists the worker as used. It returns
+// the pause before that renewal.
+func (d *Drive) acknowledge(l *link, records []*cairnbayv1.WorkRecord, result sched.HoldResult, used bool) time.Duration {
 	stored := make(chan struct{})
 	ends := &storingEnds{lastSequence: result.LastSequence}
 	d.mu.Lock()
 	l.storing = append(l.storing, ends)
+	releases := l.releases
 	d.mu.Unlock()
 	d.writer.Append(records, func(err error) {
 		defer close(stored)
@@ -428,7 +433,7 @@
 			return
 		}
 		d.mu.Lock()
-		if !l.journaled {
+		if used && !l.journaled && l.releases == releases {
 			l.journaled = true
 			d.handleJournaled(l)
 		}
--- a/internal/process/drive/relisted_test.go
+++ b/internal/process/drive/relisted_test.go
@@ -140,3 +140,33 @@
 	Entry("with a store that answers", false),
 	Entry("after an outage of the store", true),
 )
+
+// Guards against tasks that run twice (TWICE): the late record of an end, of a worker that was
+// released and dropped meanwhile, counted as the record by which the worker is used again.
+var _ = It("a worker that was released after its last ends is in the journal before it is used again", func() {
+	c := newRestartCluster()
+	severed := &severedAgent{Agent: c.agent, worker: "w0"}
+	c.agent = severed
+	c.replaceOwner()
+	c.awaitUsable()
+	c.useOnly("w0")
+	c.acceptTask("j", 1)
+	c.store.SetDown(true)
+	time.Sleep(time.Duration(c.runTime.Load()) + restartPause) // The end is listed and not stored.
+	c.listElsewhere("w0")
+	severed.sever()
+	time.Sleep(dropTime)
+	c.list("w0")
+	time.Sleep(300 * time.Millisecond)
+	c.store.SetDown(false)
+	time.Sleep(2 * time.Second)
+	severed.reconnect()
+	c.runTime.Store(int64(2 * maxWorkerLease))
+	c.acceptTask("k", 2)
+	time.Sleep(100 * time.Millisecond)
+	severed.sever()
+	c.useAll()
+	c.replaceOwner()
+	Eventually(c.fleet.Starts, "15s", "10ms").Should(Equal(3))
+	Expect(c.fleet.Broken()).To(BeEmpty())
+})
