soak: restart the workers of a whole data centre while long-running tasks hold the room

The soak restarted single workers or a third of them at random, with short tasks, and looked at waits only at its end.

-outages N restarts all workers of N of three data centres at once, under their names, round after round. Jobs whose tasks last hold seven eighths of the room; with -workspaces these are all of one workspace, which so has more than its share, and another one takes most of the rest. The policy service permits half of the workers for a step in this mode. The check "in calm" now also follows each of these tasks during the run: 4 s after the workers are back, it must not wait for 3 s beside room for two on permitted workers. The check of whole jobs at the end is as it was. The stand-in's entries name a data centre.

--- a/internal/process/drive/restart_test.go
+++ b/internal/process/drive/restart_test.go
@@ -100,7 +100,7 @@
 // entry is what the list tells of a worker of a class.
 func (c *restartCluster) entry(class string, life agent.Life) cairnbay.WorkerEntry {
 	born := cmp.Or(c.listedBorn[life.Address], life.BornUnixMS)
-	entry, err := platform.DecodeWorker(platform.WorkerPrefix+life.Address, stand.Entry(class, c.address, "r", life.Capacity, born))
+	entry, err := platform.DecodeWorker(platform.WorkerPrefix+life.Address, stand.Entry(class, c.address, "z", "r", life.Capacity, born))
 	Expect(err).NotTo(HaveOccurred())
 	return entry
 }
--- a/internal/process/node/workerlist_test.go
+++ b/internal/process/node/workerlist_test.go
@@ -54,7 +54,7 @@
 		backend := store.New(store.Config{Clock: clock})
 		var revision cairnbay.Revision
 		put := func(class string, born int64, address string) {
-			value := stand.Entry(class, address, "r", cairnbay.Resources{MilliCPU: 4000, MemoryMB: 400}, born)
+			value := stand.Entry(class, address, "z", "r", cairnbay.Resources{MilliCPU: 4000, MemoryMB: 400}, born)
 			written, err := backend.Put(context.Background(), platform.WorkerPrefix+"w", value, revision, 0)
 			Expect(err).NotTo(HaveOccurred())
 			revision = written
--- a/internal/tool/soak/callers.go
+++ b/internal/tool/soak/callers.go
@@ -76,6 +76,8 @@
 	slow bool
 	// lasting says that the tasks run until the job is cancelled.
 	lasting bool
+	// held says that the caller keeps the job until the end of the run.
+	held    bool
 	outcome outcome
 	// cancelledAt is the boot time of the answer to the cancellation.
 	cancelledAt time.Duration
@@ -88,6 +90,8 @@
 	client *http.Client
 	stop   chan struct{}
 	done   sync.WaitGroup
+	// waits judges the held jobs during the run.
+	waits *waitCheck
 
 	mu     sync.Mutex
 	jobs   []*job
@@ -101,7 +105,7 @@
 }
 
 func newCallers(w *world) *callers {
-	return &callers{world: w, client: &http.Client{}, stop: make(chan struct{})}
+	return &callers{world: w, client: &http.Client{}, stop: make(chan struct{}), waits: newWaitCheck(w, nil)}
 }
 
 func (c *callers) start(ctx context.Context) {
@@ -112,6 +116,10 @@
 	if c.world.config.Recuts {
 		count = recutCallers
 	}
+	if c.world.config.Outages > 0 {
+		count = outageCallers
+		c.startHeld(ctx)
+	}
 	for n := range count {
 		random := rand.New(rand.NewPCG(c.world.config.Seed, uint64(n+2)))
 		c.done.Go(func() {
@@ -140,6 +148,11 @@
 					c.submit(ctx, random, one)
 					continue
 				}
+				if c.world.config.Outages > 0 {
+					one.steps, one.tasks = 1, 1
+					c.submit(ctx, random, one)
+					continue
+				}
 				if number%gangShare == 0 {
 					one.gang = true
 					one.tasks++
@@ -205,6 +218,9 @@
 	if w.config.Pauses {
 		fmt.Fprintf(w.config.Out, "pauses: %d jobs asked for at paused owners\n", c.askedPaused.Load())
 	}
+	if w.config.Outages > 0 {
+		c.waits.summarise()
+	}
 	if w.config.Impatient {
 		fmt.Fprintf(w.config.Out, "impatient: %d jobs cancelled before any instance knew them\n", c.withdrawn.Load())
 	}
@@ -229,7 +245,11 @@
 		case http.StatusOK:
 			one.outcome = accepted
 			c.tryAsOther(ctx, random, one)
-			if one.lasting {
+			switch {
+			case one.held:
+				c.waits.follow(one)
+				<-c.stop
+			case one.lasting:
 				time.Sleep(time.Duration(random.Int64N(int64(lastingMost))))
 			}
 			if one.slow {
@@ -394,9 +414,8 @@
 func (c *callers) check(ctx context.Context) []string {
 	random := rand.New(rand.NewPCG(c.world.config.Seed, 0))
 	deadline := time.Now().Add(settleWait)
-	waits, settled := newWaitCheck(c.world, c.jobs), make(chan struct{})
-	var watch sync.WaitGroup
-	watch.Go(func() { waits.runUntil(settled) })
+	waits := newWaitCheck(c.world, c.jobs)
+	stopWatch := waits.start()
 	c.broken = append(c.broken, c.checkCancelled()...)
 	for _, one := range c.jobs {
 		if one.identity.invented && c.world.fleet.Started(one.id) {
@@ -415,8 +434,7 @@
 			}
 		}
 	}
-	close(settled)
-	watch.Wait()
+	stopWatch()
 	return append(c.broken, waits.broken...)
 }
 
--- a/internal/tool/soak/faults.go
+++ b/internal/tool/soak/faults.go
@@ -51,6 +51,13 @@
 	for w.config.Recuts && ctx.Err() == nil && time.Now().Before(deadline) {
 		fmt.Fprintf(w.config.Out, "%6.2f s  %s\n", time.Since(began).Seconds(), recut(ctx, w, random))
 	}
+	if w.config.Outages > 0 {
+		sleep(ctx, fillTime)
+	}
+	for w.config.Outages > 0 && ctx.Err() == nil && time.Now().Before(deadline) {
+		at := time.Since(began).Seconds()
+		fmt.Fprintf(w.config.Out, "%6.2f s  %s\n", at, outage(ctx, w, random))
+	}
 	for w.config.Impatient && ctx.Err() == nil && time.Now().Before(deadline) {
 		fmt.Fprintf(w.config.Out, "%6.2f s  %s\n", time.Since(began).Seconds(), pauseBriefly(ctx, w, random))
 	}
--- a/internal/tool/soak/keys.go
+++ b/internal/tool/soak/keys.go
@@ -75,7 +75,7 @@
 // instances do not reach the store, and must follow all the same. Every workspace has a
 // key at the end.
 func (w *world) rotateInCalm(ctx context.Context, random *rand.Rand) {
-	if w.book == nil {
+	if w.book == nil || w.config.Outages > 0 {
 		return
 	}
 	w.calmSince.Store(int64(timer.Boot()))
@@ -109,10 +109,7 @@
 		w.book.Add(workspace)
 	}
 	w.configure()
-	select {
-	case <-ctx.Done():
-	case <-time.After(keyBound):
-	}
+	sleep(ctx, keyBound)
 }
 
 // identity is in whose name a caller submits a job.
--- a/internal/tool/soak/policy.go
+++ b/internal/tool/soak/policy.go
@@ -55,19 +55,23 @@
 }
 
 // permits says whether the policy service permits a worker for a step: about four workers
-// of each shard, in all their lives.
+// of each shard, or half of them with outages, in all their lives.
 func (w *world) permits(step cairnbay.WorkflowTask, worker string) bool {
 	number, err := strconv.Atoi(strings.TrimPrefix(strings.Split(worker, "-")[0], "w"))
 	return err == nil && w.permitted(step)[number]
 }
 
-// permitted returns the numbers of the workers that may run a step.
+// permitted returns the numbers of the workers that may run a step. With outages it is half of
+// the workers, so that a task that waits seldom does so for room on them.
 func (w *world) permitted(step cairnbay.WorkflowTask) map[int]bool {
 	name := fmt.Sprint(w.config.Seed, step.Job, step.Occurrence, step.Step)
 	random := rand.New(rand.NewPCG(xxhash.Sum64String(name), policySteps))
 	chosen, left := make(map[int]bool), make([]int, w.config.Shards)
 	for shard := range left {
 		left[shard] = leastPermitted + random.IntN(3)
+		if w.config.Outages > 0 {
+			left[shard] = max(left[shard], w.config.Workers/w.config.Shards/2)
+		}
 	}
 	for _, worker := range random.Perm(w.config.Workers) {
 		if shard := w.shardOf(worker); left[shard] > 0 {
--- a/internal/tool/soak/soak.go
+++ b/internal/tool/soak/soak.go
@@ -46,6 +46,10 @@
 	// Recuts says that the only faults are workers that restart under their names and are cut
 	// off soon after, while their owner is disrupted and long tasks run.
 	Recuts bool
+	// Outages is the number of data centres, of dataCentres, whose workers restart under their
+	// names at one instant, again and again, while jobs whose tasks last hold most of the
+	// room; 0 for none. There are no other faults.
+	Outages int
 	// Tickets says that the only faults are instances that pause and answers of the policy
 	// service that are late by more than their tickets last.
 	Tickets bool
@@ -96,6 +100,7 @@
 			flags.BoolVar(&config.Pauses, "pauses", config.Pauses, "pause the owners in turn, with no other faults, while every job is cancelled")
 			flags.BoolVar(&config.Impatient, "impatient", config.Impatient, "pause any instances in turn, briefly, while callers cancel every job, also one that had no answer")
 			flags.BoolVar(&config.Recuts, "recuts", config.Recuts, "restart workers under their names and cut them off soon after, while the owner is disrupted, with no other faults")
+			flags.IntVar(&config.Outages, "outages", config.Outages, "data centres, of three, whose workers restart at one instant while long-running tasks hold most of the room, with no other faults; 0 for none")
 			flags.BoolVar(&config.Tickets, "tickets", config.Tickets, "pause instances and let answers of the policy service be late by more than their tickets last, with no other faults")
 			flags.IntVar(&config.FirstPort, "port", config.FirstPort, "first `port` of the instances, on loopback")
 			flags.StringVar(&config.Program, "program", "", "`path` of the program under test (default: this one)")
@@ -122,6 +127,12 @@
 				if config.Recuts && (config.Tickets || config.pausesOnly()) {
 					return errors.Annotate(shell.ErrUsage, "-recuts excludes -pauses, -impatient and -tickets")
 				}
+				if config.Outages < 0 || config.Outages > dataCentres {
+					return errors.Annotatef(shell.ErrUsage, "-outages %d: 0 to %d", config.Outages, dataCentres)
+				}
+				if config.Outages > 0 && (config.Recuts || config.Tickets || config.Quota > 0 || config.pausesOnly()) {
+					return errors.Annotate(shell.ErrUsage, "-outages excludes -recuts, -quota, -pauses, -impatient and -tickets")
+				}
 				if config.Program == "" {
 					program, err := os.Executable()
 					if err != nil {
@@ -146,7 +157,7 @@
 		}
 		config.Folder = folder
 	}
-	config.KeepNames = config.KeepNames || config.Recuts
+	config.KeepNames = config.KeepNames || config.Recuts || config.Outages > 0
 	w, err := newWorld(config)
 	if err != nil {
 		return errors.Trace(err)
@@ -156,12 +167,15 @@
 	calls := newCallers(w)
 	calls.start(ctx)
 	w.watchQuota()
+	stopWatch := calls.waits.start()
 	w.injectUntil(ctx, random, time.Now().Add(config.Length))
+	stopWatch()
 	w.heal()
 	w.rotateInCalm(ctx, random)
-	w.calmFrom = timer.Boot()
+	w.calmFrom.Store(int64(timer.Boot()))
 	calls.finish()
-	broken := append(w.fleet.Broken(), calls.check(ctx)...)
+	broken := append(w.fleet.Broken(), calls.waits.broken...)
+	broken = append(broken, calls.check(ctx)...)
 	broken = append(broken, w.searchKeys(ctx)...)
 	broken = append(broken, w.quotaBroken()...)
 	calls.summarise()
--- a/internal/tool/soak/soak_test.go
+++ b/internal/tool/soak/soak_test.go
@@ -49,6 +49,11 @@
 		// Guards against tasks that run twice, since the lease that a restarted worker has
 		// from calls for its former life was counted as ended.
 		Entry("workers that restart and are cut off, while their owner is replaced", 30*time.Second, func(config *soak.Config) { config.Recuts = true }),
+		// Guards against long-running tasks that wait, after many workers have restarted at
+		// once, since their workspace has more than its share or their queue is on trial.
+		Entry("data centres whose workers restart at once", 4*time.Second, func(config *soak.Config) {
+			config.Seed, config.Workers, config.Outages, config.Workspaces = 9104, 24, 1, 2
+		}),
 	)
 
 	// Seeds that failed once stay here, each with its cause.
--- a/internal/tool/soak/world.go
+++ b/internal/tool/soak/world.go
@@ -113,9 +113,10 @@
 	long sync.Map
 	// gangs are the numbers of members of the jobs whose steps are gangs, by job ID.
 	gangs sync.Map
-	// began is the boot time at which the schedule of faults began, and calmFrom that at
-	// which the last fault had ended, also those of rotateInCalm.
-	began, calmFrom time.Duration
+	// began is the boot time at which the schedule of faults began, and calmFrom that, in
+	// nanoseconds, at which the last fault had ended, also those of rotateInCalm.
+	began    time.Duration
+	calmFrom atomic.Int64
 
 	mu        sync.Mutex
 	quota     quotaCheck
@@ -250,7 +251,7 @@
 // putEntry writes the entry of a worker; the caller holds the lock.
 func (w *world) putEntry(worker int, life agent.Life) {
 	w.put(platform.WorkerPrefix+cairnbay.WorkerName(life.ID),
-		stand.Entry(class, w.toWorker[worker].Address(), rackName(worker), life.Capacity, life.BornUnixMS))
+		stand.Entry(class, w.toWorker[worker].Address(), w.dataCentreName(worker), rackName(worker), life.Capacity, life.BornUnixMS))
 }
 
 // putOddEntries writes entries that are malformed, so that all instances read them again.
@@ -330,6 +331,9 @@
 	return w.version
 }
 
+// slots is the number of tasks for which a worker has room.
+func (w *world) slots() int { return int(workerSize.MilliCPU / taskSize.MilliCPU) }
+
 // rackName returns the rack of a worker, which stays with it over its lives.
 func rackName(worker int) string {
 	return fmt.Sprintf("r%d", worker/2)
@@ -427,7 +431,7 @@
 	w.store.SetSlow(0)
 	w.policy.ChangeFaults(func(faults *advice.Faults) { *faults = advice.Faults{} })
 	// Callers submit more than a low quota completes within settleWait.
-	w.changeQuota(w.config.Workers * int(workerSize.MilliCPU/taskSize.MilliCPU))
+	w.changeQuota(w.config.Workers * w.slots())
 	for _, front := range append(w.toStore, w.toWorker...) {
 		front.Set(proxy.Pass)
 	}
@@ -469,10 +473,7 @@
 // after undoes a fault once it has lasted.
 func (w *world) after(ctx context.Context, length time.Duration, undo func()) {
 	w.later.Go(func() {
-		select {
-		case <-ctx.Done():
-		case <-time.After(length):
-		}
+		sleep(ctx, length)
 		undo()
 	})
 }
