sched: the wait of lost tasks that last counts anew once all have run again

Cause: the wait was cleared only for steps that are ready, and a step whose tasks all run is not. Its next loss went on with the former wait, and was reported at once. Now the wait ends when no task of the step waits. Decisions do not read it.

--- a/internal/process/sched/accept.go
+++ b/internal/process/sched/accept.go
@@ -154,6 +154,9 @@
 			continue
 		}
 		delete(c.readyStages, stage)
+		if stage.waiting == 0 {
+			stage.restartWait = restartWait{}
+		}
 	}
 }
 
--- a/internal/process/sched/restartwait_test.go
+++ b/internal/process/sched/restartwait_test.go
@@ -117,4 +117,26 @@
 		}
 		Expect(waited).To(Equal([]time.Duration{2 * time.Second, 4 * time.Second, 8 * time.Second}))
 	})
+
+	It("waits anew once it has run again", func() {
+		core, now := sched.New(config), sched.Moment{BootTime: time.Second, UnixMS: 1000}
+		run := func(worker string) {
+			core.SetWorker(cairnbay.WorkerEntry{ID: worker, Address: worker, Capacity: cores(16, 64000)})
+			core.HandleHold(now, worker, now.BootTime, cairnbay.AgentState{})
+			core.Tick()
+			actions := core.Plan(now)
+			Expect(actions).To(HaveLen(1))
+			core.HandleStart(now, actions[0].Start, nil)
+		}
+		core.Accept(now, lasting("j", "", 1), false)
+		for _, worker := range []string{"a", "b", "c"} {
+			run(worker)
+			now.BootTime += time.Minute
+			core.HandleWorkerLoss(now, worker, sched.LossDeparted)
+			core.Tick()
+			core.Plan(now)
+			Expect(core.TakeRestartWaits()).To(BeEmpty())
+			now.BootTime += time.Second
+		}
+	})
 })
