--- a/internal/process/drive/lineage.go
+++ b/internal/process/drive/lineage.go
@@ -114,7 +114,8 @@
 const minRefusals = 2
 
 // handleFencedCall handles the refusal of a call with the token. It stops this owner and
-// returns true if there is a newer one.
+// returns true if there is a newer one, or if enough workers have refused it and the store
+// does not answer.
 func (d *Drive) handleFencedCall(l *link, token uint64) (fenced bool) {
 	suspected := false
 	d.mu.Lock()
--- a/internal/process/drive/link.go
+++ b/internal/process/drive/link.go
@@ -70,8 +70,8 @@
 	// and does not answer. Its tasks may run until its lease ends all the same.
 	departed bool
 	// lapsed says that the worker's lease has ended without an answer, and that
-	// its attempts were counted as lost; usualLapsed that those were whose starts had
-	// answers.
+	// its attempts were counted as lost; usualLapsed says the same of the attempts whose
+	// starts were answered.
 	lapsed, usualLapsed bool
 }
 
--- a/internal/process/drive/relisted_test.go
+++ b/internal/process/drive/relisted_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"os"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -170,3 +171,27 @@
 	Eventually(c.fleet.Starts, "15s", "10ms").Should(Equal(3))
 	Expect(c.fleet.Broken()).To(BeEmpty())
 })
+
+// Guards against work that is lost: the owner of a worker's former run stopped what the owner
+// of the class in which the worker is back had started there.
+var _ = It("a worker that is back in another class keeps the tasks that its owner there has started", func() {
+	if os.Getenv("CAIRNBAY_SKIP_KNOWN_RED") != "" {
+		Skip("listed in KNOWN-RED.txt")
+	}
+	c := newRestartCluster()
+	c.awaitUsable()
+	c.runTime.Store(int64(2 * maxWorkerLease))
+	c.fleet.Restart("w0", 0, restartSize)
+	c.listElsewhere("w0")
+	target := cairnbay.AgentTarget{Worker: "w0"}
+	foreign := cairnbay.WorkflowTask{Job: "foreign"}
+	// The other owner claimed its shard before this one.
+	state, err := c.fleet.Hold(context.Background(), target, cairnbay.AgentHold{Token: 1})
+	Expect(err).NotTo(HaveOccurred())
+	_, err = c.fleet.Start(context.Background(), target, cairnbay.AgentStart{
+		Task: foreign, Attempt: 1, Token: 1, LeaseEnd: state.Clock + maxWorkerLease,
+	})
+	Expect(err).NotTo(HaveOccurred())
+	time.Sleep(2 * time.Second)
+	Expect(c.fleet.Running("w0")).To(HaveLen(1))
+})
--- a/internal/process/sched/sched.go
+++ b/internal/process/sched/sched.go
@@ -87,7 +87,7 @@
 	// crashes are those of workers that were silent, and may be cut off and answer
 	// again, and those read from the store, by worker ID.
 	crashes map[string]*crash
-	// losses are those of the last lossMemory.
+	// losses are the workers lost within lossMemory.
 	losses []loss
 	// queueRisks holds the queues of which some tasks crash their workers, by name.
 	queueRisks map[string]*queueRisk
