--- a/internal/process/drive/restart_test.go
+++ b/internal/process/drive/restart_test.go
@@ -45,8 +45,10 @@
 type restartCluster struct {
 	ownedCluster
 	names []string
-	// address is that of all workers.
-	address string
+	// servers are those of the workers, by name. Each has an address of its own, since an
+	// owner opens few connections to one.
+	servers   map[string]*httptest.Server
+	serversMu sync.Mutex
 	// listedBorn changes the starts of processes that the list tells, by the worker's
 	// name; listedElsewhere are the workers that the list says to be of another class.
 	listedBorn      map[string]int64
@@ -73,9 +75,8 @@
 	for _, name := range c.names {
 		c.fleet.Add(name, restartSize)
 	}
-	server := httptest.NewServer(stand.Worker(c.fleet))
-	DeferCleanup(server.Close)
-	c.address = server.Listener.Addr().String()
+	c.servers = make(map[string]*httptest.Server)
+	DeferCleanup(c.closeServers)
 	c.agent = platform.NewAgent(&net.Dialer{}, time.Second)
 	c.listed = func() (entries []cairnbay.WorkerEntry) {
 		for _, life := range c.fleet.Lives() {
@@ -97,10 +98,28 @@
 	return c
 }
 
+// address returns the address of a worker.
+func (c *restartCluster) address(name string) string {
+	c.serversMu.Lock()
+	defer c.serversMu.Unlock()
+	if c.servers[name] == nil {
+		c.servers[name] = httptest.NewServer(stand.Worker(c.fleet))
+	}
+	return c.servers[name].Listener.Addr().String()
+}
+
+func (c *restartCluster) closeServers() {
+	c.serversMu.Lock()
+	defer c.serversMu.Unlock()
+	for _, server := range c.servers {
+		server.Close()
+	}
+}
+
 // entry is what the list tells of a worker of a class.
 func (c *restartCluster) entry(class string, life agent.Life) cairnbay.WorkerEntry {
 	born := cmp.Or(c.listedBorn[life.Address], life.BornUnixMS)
-	entry, err := platform.DecodeWorker(platform.WorkerPrefix+life.Address, stand.Entry(class, c.address, "z", "r", life.Capacity, born))
+	entry, err := platform.DecodeWorker(platform.WorkerPrefix+life.Address, stand.Entry(class, c.address(life.Address), "z", "r", life.Capacity, born))
 	Expect(err).NotTo(HaveOccurred())
 	return entry
 }
