drive: specs of unanswered starts sever the worker before it restarts

Cause, from the logs of all five failures: the stand-in restarted the worker, delivered the start and severed the worker last. The renewal that was on its way lost its connection with the restart; its repeat reached the next run before the cut, so that the owner knew of that run ("worker not reached" with its name). All tasks of a restarted worker that is silent count as running for the longest lease, so both tasks waited for 4 s. That is what it should do; the spec is about a run that no owner has heard of.

Change: the worker is severed before the restart, a renewal that is answered afterwards counts as lost, and the start alone is delivered. What the specs expect is unchanged.

--- a/internal/process/drive/long_lease_test.go
+++ b/internal/process/drive/long_lease_test.go
@@ -61,7 +61,11 @@
 	if a.refuses(target) {
 		return cairnbay.AgentState{}, cairnbay.ErrUnknown
 	}
-	return a.Agent.Hold(ctx, target, order)
+	state, err := a.Agent.Hold(ctx, target, order)
+	if a.refuses(target) {
+		return cairnbay.AgentState{}, cairnbay.ErrUnknown
+	}
+	return state, err
 }
 
 func (a *severedAgent) Stop(ctx context.Context, target cairnbay.AgentTarget, order cairnbay.AgentStop) (time.Duration, error) {
@@ -180,8 +184,8 @@
 
 func untouched(*restartCluster) {}
 
-// restartingAgent restarts a worker just before the next start, once armed, and severs it
-// after that start, which a silent worker does not answer.
+// restartingAgent severs and restarts a worker just before the next start, once armed, and
+// delivers that start alone. A silent worker does not answer it.
 type restartingAgent struct {
 	*severedAgent
 	armed   atomic.Bool
@@ -216,9 +220,9 @@
 	if !a.armed.Swap(false) {
 		return a.severedAgent.Start(ctx, target, order)
 	}
+	a.sever()
 	a.restart()
 	clock, err := a.Agent.Start(ctx, target, order)
-	a.sever()
 	if a.silent {
 		time.Sleep(a.answerTime)
 		<-ctx.Done()
