sched: lost tasks that last start again, also those of surplus jobs

Cause: the order of a plan has one entry for a stage. That of a surplus stage comes in the pass of the surplus, whatever it lost. That of a stage whose group is held back is used up by its lost tasks in the first pass, so it does not come again in the last one.

Change: where the work that waits may not fit, the lost tasks of a stage are an entry of their own. It ranks as entitled work and is planned if the rest of the stage comes later, because its group is held back or its job is surplus; the rest keeps its usual turn. A plan without workspaces, or in which all fits, has the same entries as before.

--- a/internal/process/sched/order.go
+++ b/internal/process/sched/order.go
@@ -136,7 +136,7 @@
 func (o *stageOrder) tier(from, to int, yield func(rankedStage) bool) bool {
 	for i := from; i < to; i++ {
 		group := o.sorted[i].stage.job.group
-		if o.planned[i] || !o.pass.has(&o.sorted[i]) || o.holdsBack(group) && !o.sorted[i].replaces {
+		if o.planned[i] || !o.pass.has(&o.sorted[i]) || o.holdsBack(group) && !o.sorted[i].replacesOnly {
 			continue
 		}
 		if o.pass == passRest && group.overloads() {
@@ -160,10 +160,11 @@
 			heap.Fix(o, 0)
 		}
 		entry := o.sorted[next]
-		entry.replacesOnly = o.holdsBack(entry.stage.job.group)
-		if o.pass == passRest && !o.mayTake(entry.stage) {
+		switch {
+		case !o.isDue(&entry):
+		case o.pass == passRest && !o.mayTake(entry.stage):
 			o.hold(entry.stage)
-		} else if !yield(entry) {
+		case !yield(entry):
 			return false
 		}
 		o.followChanges()
@@ -171,6 +172,15 @@
 	return true
 }
 
+// isDue reports whether an entry needs a plan of its own: that of the tasks which replace
+// others if the rest of the stage comes later, the other one if tasks still wait.
+func (o *stageOrder) isDue(entry *rankedStage) bool {
+	if entry.replacesOnly {
+		return entry.stage.job.surplus || o.holdsBack(entry.stage.job.group)
+	}
+	return entry.stage.waiting > 0
+}
+
 // holdsBack reports whether the work of a group comes last, but for tasks that last and have
 // run before: these only replace what the group held when they were lost.
 func (o *stageOrder) holdsBack(g *group) bool {
@@ -180,7 +190,7 @@
 // keepReplacing leaves only such tasks to a group that is held back from now on, and reports
 // whether it has any.
 func (o *stageOrder) keepReplacing(g *group) bool {
-	g.waiting = slices.DeleteFunc(g.waiting, func(i int) bool { return !o.sorted[i].replaces })
+	g.waiting = slices.DeleteFunc(g.waiting, func(i int) bool { return !o.sorted[i].replacesOnly })
 	return len(g.waiting) > 0
 }
 
@@ -217,21 +227,35 @@
 // other stages wait that the last plan could not place. Shares count only where the work
 // that waits may not fit: otherwise the starts would be the same, on other workers.
 func (c *Core) inOrder(now Moment, ranked []rankedStage, skipped bool) iter.Seq[rankedStage] {
-	slices.SortFunc(ranked, comparePrecedence)
-	if !c.fairness.applies() {
-		return slices.Values(ranked)
-	}
-	c.fairness.now = now.BootTime
 	order := &c.fairness.order
-	order.usable, order.free = c.usableCapacity(now)
-	if !skipped && allFit(ranked, order.free) {
+	if c.fairness.applies() {
+		c.fairness.now = now.BootTime
+		order.usable, order.free = c.usableCapacity(now)
+	}
+	if !c.fairness.applies() || !skipped && allFit(ranked, order.free) {
+		slices.SortFunc(ranked, comparePrecedence)
 		return slices.Values(ranked)
 	}
+	ranked = addReplacements(ranked)
+	slices.SortFunc(ranked, comparePrecedence)
 	order.overloaded, order.headroom = c.fairness.groupsByOverload()
 	order.hold = func(held *stage) { held.blockedAtChange = c.changeCount }
 	return order.all(ranked)
 }
 
+// addReplacements adds an entry for the tasks of each stage that last and may have run.
+// They are part of what their group was given, so neither its share nor a surplus of jobs
+// delays their next start.
+func addReplacements(ranked []rankedStage) []rankedStage {
+	for _, entry := range ranked {
+		if entry.stage.mayReplace() {
+			entry.replacesOnly, entry.surplus, entry.precedence = true, false, precedence(entry.urgency)
+			ranked = append(ranked, entry)
+		}
+	}
+	return ranked
+}
+
 // usableCapacity sums the capacity of the usable workers, and what is free of it on those
 // that are not reserved.
 func (c *Core) usableCapacity(now Moment) (usable, free cairnbay.Resources) {
--- a/internal/process/sched/plan.go
+++ b/internal/process/sched/plan.go
@@ -281,17 +281,14 @@
 	urgency, precedence int
 	surplus             bool
 	latestStart         time.Duration
-	// replaces is set if tasks that last, and may have run, wait; replacesOnly if the share
-	// of the group lets no others start.
-	replaces, replacesOnly bool
+	// replacesOnly is set for an entry of only those tasks that last and may have run.
+	replacesOnly bool
 }
 
 // rankStage ranks a stage. Nothing of a surplus job is entitled to be in time, so it never
 // precedes what is patient.
 func (c *Core) rankStage(now Moment, stage *stage) rankedStage {
-	ranked := rankedStage{
-		stage: stage, urgency: c.urgency(now, stage), latestStart: c.latestStart(stage), replaces: stage.mayReplace(),
-	}
+	ranked := rankedStage{stage: stage, urgency: c.urgency(now, stage), latestStart: c.latestStart(stage)}
 	ranked.precedence = precedence(ranked.urgency)
 	if c.isSurplus(stage.job) {
 		ranked.surplus, ranked.precedence = true, max(ranked.precedence, urgencyPatient)
@@ -320,9 +317,22 @@
 		cmp.Compare(jobA.workflow.ID, jobB.workflow.ID),
 		cmp.Compare(a.stage.key.occurrence, b.stage.key.occurrence),
 		cmp.Compare(a.stage.key.step, b.stage.key.step),
+		compareReplaces(a, b),
 	)
 }
 
+// compareReplaces puts the tasks of a stage that replace others before the rest of it.
+func compareReplaces(a, b rankedStage) int {
+	switch {
+	case a.replacesOnly == b.replacesOnly:
+		return 0
+	case a.replacesOnly:
+		return -1
+	default:
+		return 1
+	}
+}
+
 // latestStart is when a job must start to meet its objective, whatever steps
 // are done.
 func (c *Core) latestStart(stage *stage) time.Duration {
