sched: lost tasks that last use their tickets while the policy service is asked

Cause: the next owner has no tickets, so such a step asks about 40 workers at a time, call after call, 1.1 to 2.9 s each. A step started nothing during a call about it, so that other work took what became free on the workers that it was permitted, though its tickets were still valid.

Change: during such a call, a step with tasks that last and may have run starts them on workers for which it has a valid ticket.

--- a/internal/process/sched/advice_test.go
+++ b/internal/process/sched/advice_test.go
@@ -216,6 +216,34 @@
 		Expect(sim.now - time.Second).To(BeNumerically("<=", 3*time.Second))
 	})
 
+	// Guards against tasks that last and wait after a change of owner for as long as there are
+	// workers to ask about: other work took what became free on the permitted ones.
+	DescribeTable("tasks that last and may have run take what becomes free during the next call",
+		func(gang bool) {
+			// The room is taken during the first call, and free again before the third ends.
+			const busy = 2500 * ms
+			sim := policySimulation(320, cores(4, 4000), 2*time.Second, nil)
+			sim.allow = func(_ cairnbay.WorkflowTask, worker string) bool { return worker <= "w001" }
+			inherited := job(terms(728*ms, 10*ms, 2*time.Second), 2, cores(4, 4000), time.Hour)
+			inherited.Steps[0].LongRunning, inherited.Steps[0].Gang = true, gang
+			sim.jobs["j"], sim.runTimes["j"] = inherited, []time.Duration{time.Hour}
+			sim.core.Accept(sim.moment(), inherited, true)
+			for _, id := range []string{"first", "second"} {
+				sim.advance(100 * ms)
+				other := singleStep(id, models, 2, cores(4, 4000), busy)
+				other.Queue.Advice, other.Steps[0].Checkpoints = terms(1*ms, 0, 2*time.Second), false
+				sim.submit(other, false, busy)
+			}
+			sim.advance(100 * ms)
+			Expect(sim.countRunning("first")).To(Equal(2))
+			sim.advance(busy + 100*ms)
+			Expect(sim.countRunning("j")).To(Equal(2))
+			Expect(sim.fleet.Broken()).To(BeEmpty())
+		},
+		Entry("of separate tasks", false),
+		Entry("of a gang", true),
+	)
+
 	DescribeTable("other work uses the capacity of a step whose tickets are refused for ever",
 		func(gang bool) {
 			sim := policySimulation(2, cores(4, 4000), 1500*ms, refusesAt("w000"))
--- a/internal/process/sched/plan.go
+++ b/internal/process/sched/plan.go
@@ -367,11 +367,16 @@
 	if stage.advice == nil {
 		stage.advice = newAdvice()
 	}
-	if stage.advice.inFlight {
+	// Gangs that wait for room lose more than others gain by starts during a call. But tasks
+	// that last and have run must not wait while there is a worker for them.
+	if stage.advice.inFlight && !stage.mayReplace() {
 		return nil
 	}
 	hasTicket := func(w *worker) bool { return stage.advice.valid(w.entry.ID, now.BootTime) }
 	placed := c.place(now, stage, reservations, hasTicket)
+	if stage.advice.inFlight {
+		return c.startPlaced(now, stage, c.keepProbe(now, stage, placed))
+	}
 	if stage.waiting > 0 && len(stage.advice.tickets) > 0 {
 		c.preempt(now, stage, reservations)
 	}
