sched: a worker that is dropped while it answers shows no common cause of crashes

A task that crashes worker after worker is not found while workers of the data centre move to another class.

Cause: the run of a worker that moves is dropped as a crashed one with nothing to blame. Two of them within a second excuse the suspects of each crash in that data centre and second.

Change: a loss counts as one with nothing to blame only if the worker has ceased to answer. One whose next run answers under its name has, since calls to the former run count as failed.

--- a/internal/process/sched/commoncause.go
+++ b/internal/process/sched/commoncause.go
@@ -23,7 +23,8 @@
 	at         time.Duration
 	dataCentre string
 	crash      *crash
-	// blameless is set if no task can have caused the loss by its start.
+	// blameless is set if no task can have caused the loss by its start. A worker that is
+	// dropped while it answers, since it works in another class, has not crashed.
 	blameless bool
 }
 
@@ -36,12 +37,10 @@
 // that start it, so workers that nothing had just started on show such a cause, whereas a
 // wide job or a gang that crashes many workers at one instant is a suspect on each.
 func (c *Core) noteLoss(now Moment, lost *worker, noted *crash) {
-	added := loss{
-		at: now.BootTime, dataCentre: lost.entry.DataCentre, crash: noted,
-		blameless: len(noted.suspects) == 0 && noted.unknownSuspects == 0,
-	}
+	added := loss{at: now.BootTime, dataCentre: lost.entry.DataCentre, crash: noted}
 	if lost.unreachable {
 		added.at = lost.unreachableSince
+		added.blameless = len(noted.suspects) == 0 && noted.unknownSuspects == 0
 	}
 	c.losses = slices.DeleteFunc(c.losses, func(known loss) bool { return now.BootTime-known.at > lossMemory })
 	c.losses = append(c.losses, added)
--- a/internal/process/sched/commoncause_test.go
+++ b/internal/process/sched/commoncause_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/gomega"
 
 	"cairnbay"
+	"cairnbay/internal/process/sched"
 )
 
 // newBusySite returns workers of 16 cores that each run a task without end, so that none is
@@ -67,4 +68,22 @@
 		Entry("a gang", true, 0),
 		Entry("a wide job while others are lost for another cause", false, 20),
 	)
+
+	// Guards against tasks that crash worker after worker while others move to another class:
+	// their runs are dropped without a crash.
+	It("are not those that are dropped while they answer", func() {
+		sim := newBusySite(8)
+		sim.deadly = func(task cairnbay.WorkflowTask) bool { return task.Job == "deadly" }
+		sim.eachStep = func() {
+			for _, id := range []string{"moved0", "moved1"} {
+				sim.core.SetWorker(cairnbay.WorkerEntry{ID: id, Address: id, Capacity: cores(1, 100)})
+				sim.core.HandleHold(sim.moment(), id, sim.now, cairnbay.AgentState{})
+				sim.core.HandleWorkerLoss(sim.moment(), id, sched.LossCrashed)
+			}
+		}
+		sim.submit(lasting("deadly", "", 1), false, time.Hour)
+		sim.advance(40 * time.Second)
+		Expect(sim.core.State("deadly")).To(Equal(cairnbay.WorkflowFailed))
+		Expect(sim.fleet.CrashCount(task("deadly", 0))).To(BeNumerically("<=", maxCrashes))
+	})
 })
