drive: an inherited worker that has answered is waited for by its own lease

Callers saw (by reading; the spec shows it): two runs of a task at the same time (TWICE). A worker had answered the next owner with more ends than it listed, and restarted later than the longest lease after the claim. Its new life carried out a start for the former one and was cut off: the task started elsewhere at once.

Cause: such a worker stays among the inherited ones until it has listed all its ends. With another life known it was taken for one that has been silent since the claim, and that bound had passed. The lease that this owner had granted, or that a call for the former life has given the new one, was not looked at.

Change: the bound for silent inherited workers holds only for those that have never answered this owner. The others end as any former life does: with an answer of the present one, or with their lease, which a restart extends.

--- a/internal/process/drive/inherited.go
+++ b/internal/process/drive/inherited.go
@@ -66,10 +66,11 @@
 }
 
 // expireInherited counts inherited workers that have not answered as lost, once
-// their leases have certainly ended; the caller holds the lock. A worker that has not
-// listed all its ends yet has answered: the tasks of the others must not start again.
-// One that is no longer listed is waited for as well: it does not reach the platform, but
-// the former owner may have reached it.
+// their leases have certainly ended; the caller holds the lock. A worker that has answered,
+// and has not listed all its ends yet, holds a lease of this owner, also after a restart:
+// its tasks and those of the others must not start again before that one has ended. One that
+// is no longer listed is waited for as well: it does not reach the platform, but the former
+// owner may have reached it.
 func (d *Drive) expireInherited(now time.Duration) {
 	if len(d.inherited) == 0 {
 		return
@@ -80,13 +81,11 @@
 	}
 	for id := range d.inherited {
 		l := d.findLink(id)
-		if now < d.inheritedLeaseEndsBy(l) || l != nil && d.awaitUnanswered(l, now) {
+		answered := l != nil && l.answeredAt > 0
+		if answered || now < d.inheritedLeaseEndsBy(l) || l != nil && d.awaitUnanswered(l, now) {
 			continue
 		}
 		if l != nil {
-			if l.endsTruncated && !l.superseded {
-				continue
-			}
 			d.config.Log.WithFields(logrus.Fields{
 				"worker": id, "silent_ms": (now - d.config.Claim.ClaimedAt).Milliseconds(), "granted": false, "long": l.mayHoldLongest(),
 			}).Info("lease ended")
@@ -100,12 +99,12 @@
 	}
 }
 
-// awaitUnanswered says whether an inherited worker whose usual lease has ended may still run
-// attempts of which a start had no answer. The tasks of other attempts no longer wait for it.
-// The caller holds the lock.
+// awaitUnanswered says whether an inherited worker that has not answered may still run, though
+// its usual lease has ended, attempts of which a start had no answer. The tasks of other
+// attempts no longer wait for it. The caller holds the lock.
 func (d *Drive) awaitUnanswered(l *link, now time.Duration) bool {
 	id := l.entry.ID
-	if len(l.unanswered) == 0 || l.answeredAt > 0 || now >= d.formerSilentAt+leaseTime(d.config.MaxLease) {
+	if len(l.unanswered) == 0 || now >= d.formerSilentAt+leaseTime(d.config.MaxLease) {
 		return false
 	}
 	if !d.inherited[id].confined {
--- a/internal/process/drive/long_lease_test.go
+++ b/internal/process/drive/long_lease_test.go
@@ -20,8 +20,9 @@
 	cairnbay.Agent
 	worker string
 
-	// lose says that the next start does not arrive.
-	lose atomic.Bool
+	// lose says that the next start does not arrive, truncate that the worker always has
+	// more ends than it lists.
+	lose, truncate atomic.Bool
 
 	mu      sync.Mutex
 	severed bool
@@ -61,7 +62,9 @@
 	if a.refuses(target) {
 		return cairnbay.AgentState{}, cairnbay.ErrUnknown
 	}
-	return a.Agent.Hold(ctx, target, order)
+	state, err := a.Agent.Hold(ctx, target, order)
+	state.EndsTruncated = state.EndsTruncated || a.truncate.Load() && cairnbay.WorkerName(target.Worker) == a.worker
+	return state, err
 }
 
 func (a *severedAgent) Stop(ctx context.Context, target cairnbay.AgentTarget, order cairnbay.AgentStop) (time.Duration, error) {
@@ -172,6 +175,28 @@
 	}),
 )
 
+// Guards against tasks that run twice (TWICE): a worker that had answered the next owner, with
+// more ends than it lists, counted as silent since the claim once it had restarted.
+var _ = It("a restarted worker that had more ends than it listed counts as running for the lease that a start for its former run has given it", func() {
+	c := newRestartCluster()
+	c.runTime.Store(int64(4 * maxWorkerLease))
+	severed := &severedAgent{Agent: c.agent, worker: "w0"}
+	c.agent = severed
+	c.replaceOwner()
+	c.useOnly("w0")
+	c.acceptTask("j", 1)
+	severed.truncate.Store(true)
+	c.replaceOwner()
+	time.Sleep(maxWorkerLease + 3*time.Second)
+	late := severed.sever()
+	c.fleet.Restart("w0", 0, restartSize)
+	c.fleet.StartLate(timer.Boot(), cairnbay.AgentTarget{Worker: "w0"}, late)
+	Expect(c.fleet.Running("w0")).To(HaveLen(1))
+	c.useAll()
+	Eventually(c.fleet.Starts, "15s", "10ms").Should(Equal(3))
+	Expect(c.fleet.Broken()).To(BeEmpty())
+})
+
 // listHere, listElsewhere and listFormer set what the list tells of the next run of a worker:
 // its class is the same or another one, or the former run is still listed.
 func listHere(*restartCluster)        {}
