drive: the lease of a reinstated worker ends again

Callers saw (by reading; the spec shows it): a task waits for good (LOST), though other workers are free. Its worker had been behind an entry of the list that named another life and was read late, for longer than the longest lease; it answered again, got the task and fell silent.

Cause: the former life was counted as lost at the end of its lease. It was made the current one again by the answer to a renewal for the other life, and what says that its lease has ended was reset only with a renewal that had failed before. Of a life that was superseded while it answered, none had. The end of its next lease was not noticed, neither in silence nor after a restart.

Change: each answer resets it.

Evidence: both entries of the spec failed before (no second start within 15 s, 1 of 1 run with -race) and pass now, 2 of 2 runs.

--- a/internal/process/drive/link.go
+++ b/internal/process/drive/link.go
@@ -343,8 +343,9 @@
 	l.listsEnds, l.endsTruncated = len(state.Ended) > 0, state.EndsTruncated
 	if l.failures > 0 {
 		d.config.Log.WithFields(logrus.Fields{"worker": l.entry.ID, "failures": l.failures}).Info("worker regained")
-		l.failures, l.lapsed, l.usualLapsed, l.departed = 0, false, false, false
 	}
+	// The lease of a reinstated run may have ended without a failed renewal.
+	l.failures, l.lapsed, l.usualLapsed, l.departed = 0, false, false, false
 	unjournaled := !l.journaled
 	if !unjournaled {
 		d.core.SetReachable(d.now(), l.entry.ID, true)
--- a/internal/process/drive/long_lease_test.go
+++ b/internal/process/drive/long_lease_test.go
@@ -14,8 +14,8 @@
 	"cairnbay/internal/process/timer"
 )
 
-// severedAgent delivers no calls to a worker once it is severed, and notes the last start
-// sent there before.
+// severedAgent delivers no calls to a worker, or to one run of it, once it is severed, and
+// notes the last start sent there before.
 type severedAgent struct {
 	cairnbay.Agent
 	worker string
@@ -39,7 +39,7 @@
 func (a *severedAgent) refuses(target cairnbay.AgentTarget) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.severed && cairnbay.WorkerName(target.Worker) == a.worker
+	return a.severed && (cairnbay.WorkerName(target.Worker) == a.worker || target.Worker == a.worker)
 }
 
 func (a *severedAgent) Start(ctx context.Context, target cairnbay.AgentTarget, order cairnbay.AgentStart) (time.Duration, error) {
--- a/internal/process/drive/relisted_test.go
+++ b/internal/process/drive/relisted_test.go
@@ -172,6 +172,35 @@
 	Expect(c.fleet.Broken()).To(BeEmpty())
 })
 
+// Guards against tasks that wait for good (LOST): the lease of a worker had ended behind an entry
+// that was read late, and its end was not noticed again.
+var _ = DescribeTable("the tasks of a worker that is back after an entry that was read late run again once its lease has ended",
+	func(disrupt func(c *restartCluster)) {
+		c := newRestartCluster()
+		const staleBorn = 17
+		severed := &severedAgent{Agent: c.agent, worker: cairnbay.IncarnationID("w0", staleBorn)}
+		severed.sever()
+		c.agent = severed
+		c.replaceOwner()
+		c.awaitUsable()
+		c.listBorn("w0", staleBorn)
+		time.Sleep(maxWorkerLease + renewals)
+		severed.reconnect()
+		c.listBorn("w0", 0)
+		c.awaitUsable()
+		c.runTime.Store(int64(5 * maxWorkerLease))
+		c.useOnly("w0")
+		c.acceptTask("j", 1)
+		c.useAll()
+		c.fleet.Cut("w0", true)
+		disrupt(c)
+		Eventually(c.fleet.Starts, "15s", "10ms").Should(Equal(2))
+		Expect(c.fleet.Broken()).To(BeEmpty())
+	},
+	Entry("in silence", untouched),
+	Entry("after a restart", func(c *restartCluster) { c.fleet.Restart("w0", 0, restartSize) }),
+)
+
 // Guards against work that is lost: the owner of a worker's former run stopped what the owner
 // of the class in which the worker is back had started there.
 var _ = It("a worker that is back in another class keeps the tasks that its owner there has started", func() {
