--- a/internal/process/drive/lineage.go
+++ b/internal/process/drive/lineage.go
@@ -231,6 +231,14 @@
 	g.former = slices.Delete(g.former, index, index+1)
 	g.current, l.superseded = l, false
 	d.links[l.entry.ID] = l
+	// The core has removed the worker if its lease had ended.
+	if entry, listed := d.listed[l.entry.ID]; listed {
+		d.addWorker(entry)
+	} else {
+		d.core.SetWorker(l.entry)
+		d.core.SetUnlisted(l.entry.ID)
+	}
+	d.core.SetReachable(d.now(), l.entry.ID, false)
 	if !l.renewing {
 		l.renewing = true
 		d.done.Go(func() { d.renewLoop(l) })
