drive: another worker at the address of one run does not end the runs at others

Callers saw (by reading; the spec shows it): a task that runs is counted as lost, and starts elsewhere at once (TWICE). An entry of a former life of its worker, at an address that belongs to another worker by now, had been read late.

Cause: the life of that entry was taken for the present one and called, and the answer of the other worker (421) dropped all lives of the name. It tells nothing of a life at another address.

Change: of these the latest one is the current one again, and is called. It answers, gives way to the life that answers in its place, or is waited for until its lease, which counts as the longest, has ended. Lives at the address of the 421 are dropped as before: no call reaches them or their successors there.

The stand-ins of workers that restart answer 421 for other names.

--- a/internal/process/drive/link.go
+++ b/internal/process/drive/link.go
@@ -288,12 +288,17 @@
 
 // drop removes a worker and its link; the caller holds the lock.
 func (d *Drive) drop(l *link, reason string) {
-	l.dropped = true
+	d.dropRun(l, reason)
+	d.dropLineage(l)
+}
+
+// dropRun removes the current run of a worker and its link; the caller holds the lock.
+func (d *Drive) dropRun(l *link, reason string) {
+	l.dropped, l.lineage.current = true, nil
 	delete(d.links, l.entry.ID)
 	delete(d.refusals, l.entry.ID)
 	d.handleWorkerLoss(l.entry.ID, reason, l.lossCause())
 	d.journalRelease(l)
-	d.dropLineage(l)
 }
 
 // journalRelease records that nothing runs on a worker, so that the next owner
--- a/internal/process/drive/relisted_test.go
+++ b/internal/process/drive/relisted_test.go
@@ -204,6 +204,28 @@
 	Entry("after a restart", func(c *restartCluster) { c.fleet.Restart("w0", 0, restartSize) }),
 )
 
+// Guards against tasks that run twice (TWICE): a worker was dropped with what it ran, as another
+// one answered at an address that is not its own.
+var _ = DescribeTable("the tasks of a worker that the list shows at the address of another one run on",
+	func(born int64, use func(c *restartCluster)) {
+		c := newRestartCluster()
+		c.awaitUsable()
+		c.runTime.Store(int64(3 * maxWorkerLease))
+		c.useOnly("w0")
+		c.acceptTask("j", 1)
+		c.listAt("w0", "w1", born)
+		time.Sleep(restartPause)
+		use(c)
+		c.acceptTask("k", 2)
+		c.useAll()
+		Consistently(c.fleet.Starts, 2*lease).Should(Equal(2))
+		Expect(c.fleet.Broken()).To(BeEmpty())
+		c.listAt("w0", "w0", 0)
+		c.awaitUsable()
+	},
+	Entry("in an entry of a former run that is read late", int64(17), (*restartCluster).useAll),
+)
+
 // Guards against work that is lost: the owner of a worker's former run stopped what the owner
 // of the class in which the worker is back had started there.
 var _ = It("a worker that is back in another class keeps the tasks that its owner there has started", func() {
--- a/internal/process/drive/replaced_worker.go
+++ b/internal/process/drive/replaced_worker.go
@@ -1,6 +1,7 @@
 package drive
 
 import (
+	"slices"
 	"time"
 )
 
@@ -19,14 +20,23 @@
 	maxReplacedPause = 32 * time.Second
 )
 
-// dropReplaced removes a worker at whose address another one answers; the caller holds
-// the lock.
+// dropReplaced removes a run of a worker at whose address another one answers. A former run
+// at another address is the current one again, since the entry of this one may have been out
+// of date. The caller holds the lock.
 func (d *Drive) dropReplaced(l *link) {
 	pause := minReplacedPause
 	if gone, ok := d.replaced[l.entry.ID]; ok && gone.address == l.entry.Address {
 		pause = min(2*gone.pause, maxReplacedPause)
 	}
 	d.replaced[l.entry.ID] = replacedWorker{l.entry.Address, d.config.BootTime() + pause, pause}
+	g := l.lineage
+	for i, former := range slices.Backward(g.former) {
+		if former.entry.Address != l.entry.Address {
+			d.dropRun(l, "replaced")
+			d.reinstate(g, i)
+			return
+		}
+	}
 	d.drop(l, "replaced")
 }
 
--- a/internal/process/drive/restart_test.go
+++ b/internal/process/drive/restart_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math"
 	"net"
+	"net/http"
 	"net/http/httptest"
 	"slices"
 	"sync"
@@ -50,8 +51,10 @@
 	servers   map[string]*httptest.Server
 	serversMu sync.Mutex
 	// listedBorn changes the starts of processes that the list tells, by the worker's
-	// name; listedElsewhere are the workers that the list says to be of another class.
+	// name, and listedAt names the workers at whose addresses it shows others;
+	// listedElsewhere are the workers that the list says to be of another class.
 	listedBorn      map[string]int64
+	listedAt        map[string]string
 	listedElsewhere map[string]bool
 }
 
@@ -61,7 +64,7 @@
 
 func newRestartCluster() *restartCluster {
 	c := &restartCluster{ownedCluster: ownedCluster{cluster: newCluster(0)}, names: []string{"w0", "w1", "w2", "w3"}}
-	c.listedBorn, c.listedElsewhere = make(map[string]int64), make(map[string]bool)
+	c.listedBorn, c.listedElsewhere, c.listedAt = make(map[string]int64), make(map[string]bool), make(map[string]string)
 	c.fleet = agent.New(agent.Config{
 		Now:     timer.Boot,
 		RunTime: func(cairnbay.WorkflowTask) time.Duration { return time.Duration(c.runTime.Load()) },
@@ -103,7 +106,14 @@
 	c.serversMu.Lock()
 	defer c.serversMu.Unlock()
 	if c.servers[name] == nil {
-		c.servers[name] = httptest.NewServer(stand.Worker(c.fleet))
+		handler := stand.Worker(c.fleet)
+		c.servers[name] = httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+			if request.Header.Get("Expect-Instance") != name {
+				writer.WriteHeader(http.StatusMisdirectedRequest)
+				return
+			}
+			handler.ServeHTTP(writer, request)
+		}))
 	}
 	return c.servers[name].Listener.Addr().String()
 }
@@ -119,7 +129,8 @@
 // entry is what the list tells of a worker of a class.
 func (c *restartCluster) entry(class string, life agent.Life) cairnbay.WorkerEntry {
 	born := cmp.Or(c.listedBorn[life.Address], life.BornUnixMS)
-	entry, err := platform.DecodeWorker(platform.WorkerPrefix+life.Address, stand.Entry(class, c.address(life.Address), "z", "r", life.Capacity, born))
+	address := c.address(cmp.Or(c.listedAt[life.Address], life.Address))
+	entry, err := platform.DecodeWorker(platform.WorkerPrefix+life.Address, stand.Entry(class, address, "z", "r", life.Capacity, born))
 	Expect(err).NotTo(HaveOccurred())
 	return entry
 }
@@ -141,6 +152,13 @@
 	c.listedBorn[name] = born
 }
 
+// listAt lists a worker, started at a time, at the address of another one.
+func (c *restartCluster) listAt(name, other string, born int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.listedAt[name], c.listedBorn[name] = other, born
+}
+
 // listElsewhere lists a worker as one of another class.
 func (c *restartCluster) listElsewhere(name string) {
 	c.mu.Lock()
