drive: orders go to the address at which their worker is renewed

Callers saw (by reading; the spec shows it): a worker that answers is dropped with all that it runs, which starts elsewhere at once (TWICE), as its entry shows it at the address of another worker.

Cause: renewals go to the address with which the link was opened, starts and stops to the latest one of the list. The 421 of a start dropped whatever link the worker had, also one with another address, or one that was opened after the start was sent.

Change: orders go to the address of the link, and a 421, now also that of a stop, concerns the link of the call, as long as its address is the same.

--- a/internal/process/drive/link.go
+++ b/internal/process/drive/link.go
@@ -227,7 +227,7 @@
 		return 0, false
 	}
 	if err != nil {
-		return d.handleRenewFailure(l, order.Token, err)
+		return d.handleRenewFailure(l, target.Address, order.Token, err)
 	}
 	return d.handleState(l, sent, state), true
 }
@@ -239,9 +239,9 @@
 	return d.listRead && l.draining && !listed
 }
 
-// handleRenewFailure handles a failed renewal. It returns the pause before the
-// next one; false to make no more.
-func (d *Drive) handleRenewFailure(l *link, token uint64, err error) (time.Duration, bool) {
+// handleRenewFailure handles a failed renewal that was sent to an address. It returns the
+// pause before the next one; false to make no more.
+func (d *Drive) handleRenewFailure(l *link, address string, token uint64, err error) (time.Duration, bool) {
 	if errors.Is(err, cairnbay.ErrFenced) && d.handleFencedCall(l, token) {
 		return 0, false
 	}
@@ -252,8 +252,7 @@
 	}
 	now := d.config.BootTime()
 	if errors.Is(err, cairnbay.ErrReplaced) {
-		d.dropReplaced(l)
-		return 0, false
+		return 0, !d.dropReplaced(l, address)
 	}
 	l.failures++
 	if l.failures == 1 {
--- a/internal/process/drive/orders.go
+++ b/internal/process/drive/orders.go
@@ -28,7 +28,8 @@
 
 // delivery is what an order takes from the link to its worker when it is sent.
 type delivery struct {
-	link *link
+	link   *link
+	target cairnbay.AgentTarget
 	// sent is the boot time, leaseEnd the end of the lease on the worker's clock; 0 for an
 	// order that grants none.
 	sent, leaseEnd time.Duration
@@ -73,11 +74,11 @@
 	if l == nil || l.answeredAt == 0 || !d.ownershipConfirmed(sent) {
 		return delivery{}, false
 	}
-	return delivery{link: l, sent: sent, token: l.lineage.token}, true
+	return delivery{link: l, target: l.target(), sent: sent, token: l.lineage.token}, true
 }
 
-// handleAnswer stores the worker's clock from the answer to an order, and fences
-// this owner if the worker reported a newer one.
+// handleAnswer stores the worker's clock from the answer to an order, removes a worker at
+// whose address another one answered, and fences this owner if the worker reported a newer one.
 func (d *Drive) handleAnswer(order delivery, clock time.Duration, err error) {
 	l := order.link
 	if errors.Is(err, cairnbay.ErrFenced) {
@@ -87,7 +88,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	switch {
-	case l.superseded:
+	case l.superseded || l.dropped:
+	case errors.Is(err, cairnbay.ErrReplaced):
+		d.dropReplaced(l, order.target.Address)
 	case errors.Is(err, cairnbay.ErrUnknown) && order.leaseEnd > 0:
 		d.noteUnanswered(l, order.attempt)
 	case err != nil:
@@ -119,7 +122,7 @@
 	for try := 1; ; try++ {
 		var clock time.Duration
 		ctx, cancel := context.WithTimeout(d.ctx, time.Duration(try)*startTimeout+d.allowance())
-		clock, err = d.config.Agent.Start(ctx, action.Target, order)
+		clock, err = d.config.Agent.Start(ctx, sending.target, order)
 		cancel()
 		d.handleAnswer(sending, clock, err)
 		if try == 1 {
@@ -236,11 +239,6 @@
 		log.Info("attempt started")
 	}
 	d.mu.Lock()
-	if errors.Is(err, cairnbay.ErrReplaced) {
-		if l := d.links[action.Target.Worker]; l != nil {
-			d.dropReplaced(l)
-		}
-	}
 	d.core.HandleStart(d.now(), action, err)
 	if errors.Is(err, cairnbay.ErrUnknown) {
 		d.core.SetReachable(d.now(), action.Target.Worker, false)
@@ -259,7 +257,7 @@
 		return
 	}
 	ctx, cancel := context.WithTimeout(d.ctx, stopTimeout+d.allowance())
-	clock, err := d.config.Agent.Stop(ctx, action.Target, cairnbay.AgentStop{
+	clock, err := d.config.Agent.Stop(ctx, sending.target, cairnbay.AgentStop{
 		Task: action.Task, Attempt: action.Attempt, Token: sending.token,
 	})
 	cancel()
--- a/internal/process/drive/relisted_test.go
+++ b/internal/process/drive/relisted_test.go
@@ -224,6 +224,7 @@
 		c.awaitUsable()
 	},
 	Entry("in an entry of a former run that is read late", int64(17), (*restartCluster).useAll),
+	Entry("in a wrong entry", int64(0), untouched),
 )
 
 // Guards against work that is lost: the owner of a worker's former run stopped what the owner
--- a/internal/process/drive/replaced_worker.go
+++ b/internal/process/drive/replaced_worker.go
@@ -22,8 +22,11 @@
 
 // dropReplaced removes a run of a worker at whose address another one answers. A former run
 // at another address is the current one again, since the entry of this one may have been out
-// of date. The caller holds the lock.
-func (d *Drive) dropReplaced(l *link) {
+// of date. It returns false if the run has another address by now. The caller holds the lock.
+func (d *Drive) dropReplaced(l *link, address string) bool {
+	if l.entry.Address != address {
+		return false
+	}
 	pause := minReplacedPause
 	if gone, ok := d.replaced[l.entry.ID]; ok && gone.address == l.entry.Address {
 		pause = min(2*gone.pause, maxReplacedPause)
@@ -31,13 +34,14 @@
 	d.replaced[l.entry.ID] = replacedWorker{l.entry.Address, d.config.BootTime() + pause, pause}
 	g := l.lineage
 	for i, former := range slices.Backward(g.former) {
-		if former.entry.Address != l.entry.Address {
+		if former.entry.Address != address {
 			d.dropRun(l, "replaced")
 			d.reinstate(g, i)
-			return
+			return true
 		}
 	}
 	d.drop(l, "replaced")
+	return true
 }
 
 // retryReplaced calls the replaced workers again that are still listed; the caller holds
