drive: a run that has answered keeps its address

Callers saw (by reading; the spec shows it): a restarted worker is dropped with a task that it runs by a late start, and the task starts elsewhere at once (TWICE), as its first entry in the list shows it at the address of another worker.

Cause: the link to a run that is known before the list shows it takes the address of its first entry, though the run has answered at another one.

Change: only a run that has not answered takes that address.

Evidence: the spec failed before, 2 of 2 runs with -race (the task lost as "replaced" within 0.1 s), and passes now, 2 of 2.

--- a/internal/process/drive/lineage.go
+++ b/internal/process/drive/lineage.go
@@ -218,10 +218,13 @@
 }
 
 // handleListed handles the first entry of a run that was known otherwise. The ID
-// stays; it is read without the lock.
+// stays; it is read without the lock. So does the address of a run that has answered there.
 func (l *link) handleListed(entry cairnbay.WorkerEntry) {
 	l.unlisted = false
-	l.entry.Class, l.entry.Address, l.entry.DataCentre = entry.Class, entry.Address, entry.DataCentre
+	if l.answeredAt == 0 {
+		l.entry.Address = entry.Address
+	}
+	l.entry.Class, l.entry.DataCentre = entry.Class, entry.DataCentre
 	l.entry.Rack, l.entry.Labels, l.entry.Capacity = entry.Rack, entry.Labels, entry.Capacity
 }
 
--- a/internal/process/drive/relisted_test.go
+++ b/internal/process/drive/relisted_test.go
@@ -227,6 +227,19 @@
 	Entry("in a wrong entry", int64(0), untouched),
 )
 
+// Guards against tasks that run twice (TWICE): a run that had answered before the list showed it
+// was called at the address of its first entry, and dropped.
+var _ = It("a restarted worker keeps what it runs though its first entry shows it at the address of another one", func() {
+	c := newRestartCluster()
+	c.runTime.Store(int64(3 * maxWorkerLease))
+	c.startLate("w0")
+	time.Sleep(renewals)
+	c.listAt("w0", "w1", 0)
+	c.useAll()
+	Consistently(c.fleet.Starts, 2*lease).Should(Equal(2))
+	Expect(c.fleet.Broken()).To(BeEmpty())
+})
+
 // Guards against work that is lost: the owner of a worker's former run stopped what the owner
 // of the class in which the worker is back had started there.
 var _ = It("a worker that is back in another class keeps the tasks that its owner there has started", func() {
