drive: the lease of a former run ends while the token cannot rise

Callers saw (by reading; the spec shows it): while the store is away, a task of a worker that has restarted twice waits for the store to return, though its lease has ended and other workers are free.

Cause: a run after which another one is known is counted as lost when a renewal for that one fails.

Change: the leases are also checked while the token cannot rise.

--- a/internal/process/drive/link.go
+++ b/internal/process/drive/link.go
@@ -188,6 +188,7 @@
 		return 0, false
 	}
 	if !d.raiseToken(l) {
+		d.expireFormer(l.lineage)
 		d.mu.Unlock()
 		return tokenRetryPause, true
 	}
--- a/internal/process/drive/relisted_test.go
+++ b/internal/process/drive/relisted_test.go
@@ -240,6 +240,31 @@
 	Expect(c.fleet.Broken()).To(BeEmpty())
 })
 
+// Guards against tasks that wait for the end of an outage of the store: the token for a worker
+// that has restarted twice cannot rise, and the end of the lease before was not noticed.
+var _ = It("the tasks of a worker that restarts twice while the store is away run again once their lease has ended", func() {
+	c := newRestartCluster()
+	c.runTime.Store(int64(4 * maxWorkerLease))
+	severed := &severedAgent{Agent: c.agent, worker: "w0"}
+	c.agent = severed
+	c.replaceOwner()
+	c.useOnly("w0")
+	c.acceptTask("j", 1)
+	time.Sleep(restartPause)
+	late := severed.sever()
+	c.store.SetDown(true)
+	c.fleet.Restart("w0", 0, restartSize)
+	c.fleet.StartLate(timer.Boot(), cairnbay.AgentTarget{Worker: "w0"}, late)
+	Expect(c.fleet.Running("w0")).To(HaveLen(1))
+	severed.reconnect()
+	time.Sleep(renewals) // The next run answers under the last token that can be had.
+	severed.sever()
+	c.fleet.Restart("w0", 0, restartSize)
+	c.useAll()
+	Eventually(c.fleet.Starts, "15s", "10ms").Should(Equal(3))
+	Expect(c.fleet.Broken()).To(BeEmpty())
+})
+
 // Guards against work that is lost: the owner of a worker's former run stopped what the owner
 // of the class in which the worker is back had started there.
 var _ = It("a worker that is back in another class keeps the tasks that its owner there has started", func() {
