--- a/internal/process/drive/link.go
+++ b/internal/process/drive/link.go
@@ -188,6 +188,7 @@
 		return 0, false
 	}
 	if !d.raiseToken(l) {
+		d.expireFormer(l.lineage)
 		d.mu.Unlock()
 		return tokenRetryPause, true
 	}
@@ -227,7 +228,7 @@
 		return 0, false
 	}
 	if err != nil {
-		return d.handleRenewFailure(l, order.Token, err)
+		return d.handleRenewFailure(l, target.Address, order.Token, err)
 	}
 	return d.handleState(l, sent, state), true
 }
@@ -239,9 +240,9 @@
 	return d.listRead && l.draining && !listed
 }
 
-// handleRenewFailure handles a failed renewal. It returns the pause before the
-// next one; false to make no more.
-func (d *Drive) handleRenewFailure(l *link, token uint64, err error) (time.Duration, bool) {
+// handleRenewFailure handles a failed renewal that was sent to an address. It returns the
+// pause before the next one; false to make no more.
+func (d *Drive) handleRenewFailure(l *link, address string, token uint64, err error) (time.Duration, bool) {
 	if errors.Is(err, cairnbay.ErrFenced) && d.handleFencedCall(l, token) {
 		return 0, false
 	}
@@ -252,8 +253,7 @@
 	}
 	now := d.config.BootTime()
 	if errors.Is(err, cairnbay.ErrReplaced) {
-		d.dropReplaced(l)
-		return 0, false
+		return 0, !d.dropReplaced(l, address)
 	}
 	l.failures++
 	if l.failures == 1 {
@@ -288,12 +288,17 @@
 
 // drop removes a worker and its link; the caller holds the lock.
 func (d *Drive) drop(l *link, reason string) {
-	l.dropped = true
+	d.dropRun(l, reason)
+	d.dropLineage(l)
+}
+
+// dropRun removes the current run of a worker and its link; the caller holds the lock.
+func (d *Drive) dropRun(l *link, reason string) {
+	l.dropped, l.lineage.current = true, nil
 	delete(d.links, l.entry.ID)
 	delete(d.refusals, l.entry.ID)
 	d.handleWorkerLoss(l.entry.ID, reason, l.lossCause())
 	d.journalRelease(l)
-	d.dropLineage(l)
 }
 
 // journalRelease records that nothing runs on a worker, so that the next owner
@@ -343,8 +348,9 @@
 	l.listsEnds, l.endsTruncated = len(state.Ended) > 0, state.EndsTruncated
 	if l.failures > 0 {
 		d.config.Log.WithFields(logrus.Fields{"worker": l.entry.ID, "failures": l.failures}).Info("worker regained")
-		l.failures, l.lapsed, l.usualLapsed, l.departed = 0, false, false, false
 	}
+	// The lease of a reinstated run may have ended without a failed renewal.
+	l.failures, l.lapsed, l.usualLapsed, l.departed = 0, false, false, false
 	unjournaled := !l.journaled
 	if !unjournaled {
 		d.core.SetReachable(d.now(), l.entry.ID, true)
--- a/internal/process/drive/long_lease_test.go
+++ b/internal/process/drive/long_lease_test.go
@@ -14,14 +14,15 @@
 	"cairnbay/internal/process/timer"
 )
 
-// severedAgent delivers no calls to a worker once it is severed, and notes the last start
-// sent there before.
+// severedAgent delivers no calls to a worker, or to one run of it, once it is severed, and
+// notes the last start sent there before.
 type severedAgent struct {
 	cairnbay.Agent
 	worker string
 
-	// lose says that the next start does not arrive.
-	lose atomic.Bool
+	// lose says that the next start does not arrive, truncate that the worker always has
+	// more ends than it lists.
+	lose, truncate atomic.Bool
 
 	mu      sync.Mutex
 	severed bool
@@ -38,7 +39,7 @@
 func (a *severedAgent) refuses(target cairnbay.AgentTarget) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.severed && cairnbay.WorkerName(target.Worker) == a.worker
+	return a.severed && (cairnbay.WorkerName(target.Worker) == a.worker || target.Worker == a.worker)
 }
 
 func (a *severedAgent) Start(ctx context.Context, target cairnbay.AgentTarget, order cairnbay.AgentStart) (time.Duration, error) {
@@ -65,6 +66,7 @@
 	if a.refuses(target) {
 		return cairnbay.AgentState{}, cairnbay.ErrUnknown
 	}
+	state.EndsTruncated = state.EndsTruncated || a.truncate.Load() && cairnbay.WorkerName(target.Worker) == a.worker
 	return state, err
 }
 
@@ -176,6 +178,28 @@
 	}),
 )
 
+// Guards against tasks that run twice (TWICE): a worker that had answered the next owner, with
+// more ends than it lists, counted as silent since the claim once it had restarted.
+var _ = It("a restarted worker that had more ends than it listed counts as running for the lease that a start for its former run has given it", func() {
+	c := newRestartCluster()
+	c.runTime.Store(int64(4 * maxWorkerLease))
+	severed := &severedAgent{Agent: c.agent, worker: "w0"}
+	c.agent = severed
+	c.replaceOwner()
+	c.useOnly("w0")
+	c.acceptTask("j", 1)
+	severed.truncate.Store(true)
+	c.replaceOwner()
+	time.Sleep(maxWorkerLease + 3*time.Second)
+	late := severed.sever()
+	c.fleet.Restart("w0", 0, restartSize)
+	c.fleet.StartLate(timer.Boot(), cairnbay.AgentTarget{Worker: "w0"}, late)
+	Expect(c.fleet.Running("w0")).To(HaveLen(1))
+	c.useAll()
+	Eventually(c.fleet.Starts, "15s", "10ms").Should(Equal(3))
+	Expect(c.fleet.Broken()).To(BeEmpty())
+})
+
 // listHere, listElsewhere and listFormer set what the list tells of the next run of a worker:
 // its class is the same or another one, or the former run is still listed.
 func listHere(*restartCluster)        {}
--- a/internal/process/drive/relisted_test.go
+++ b/internal/process/drive/relisted_test.go
@@ -172,6 +172,99 @@
 	Expect(c.fleet.Broken()).To(BeEmpty())
 })
 
+// Guards against tasks that wait for good (LOST): the lease of a worker had ended behind an entry
+// that was read late, and its end was not noticed again.
+var _ = DescribeTable("the tasks of a worker that is back after an entry that was read late run again once its lease has ended",
+	func(disrupt func(c *restartCluster)) {
+		c := newRestartCluster()
+		const staleBorn = 17
+		severed := &severedAgent{Agent: c.agent, worker: cairnbay.IncarnationID("w0", staleBorn)}
+		severed.sever()
+		c.agent = severed
+		c.replaceOwner()
+		c.awaitUsable()
+		c.listBorn("w0", staleBorn)
+		time.Sleep(maxWorkerLease + renewals)
+		c.store.SetDown(true)
+		severed.reconnect()
+		c.listBorn("w0", 0)
+		Consistently(func() int { return c.owner.Counts().Usable }, renewals).Should(Equal(len(c.names)-1), "not in the journal yet")
+		c.store.SetDown(false)
+		c.awaitUsable()
+		c.runTime.Store(int64(5 * maxWorkerLease))
+		c.useOnly("w0")
+		c.acceptTask("j", 1)
+		c.useAll()
+		c.fleet.Cut("w0", true)
+		disrupt(c)
+		Eventually(c.fleet.Starts, "15s", "10ms").Should(Equal(2))
+		Expect(c.fleet.Broken()).To(BeEmpty())
+	},
+	Entry("in silence", untouched),
+	Entry("after a restart", func(c *restartCluster) { c.fleet.Restart("w0", 0, restartSize) }),
+)
+
+// Guards against tasks that run twice (TWICE): a worker was dropped with what it ran, as another
+// one answered at an address that is not its own.
+var _ = DescribeTable("the tasks of a worker that the list shows at the address of another one run on",
+	func(born int64, use func(c *restartCluster)) {
+		c := newRestartCluster()
+		c.awaitUsable()
+		c.runTime.Store(int64(3 * maxWorkerLease))
+		c.useOnly("w0")
+		c.acceptTask("j", 1)
+		c.listAt("w0", "w1", born)
+		time.Sleep(restartPause)
+		use(c)
+		c.acceptTask("k", 2)
+		c.useAll()
+		Consistently(c.fleet.Starts, 2*lease).Should(Equal(2))
+		Expect(c.fleet.Broken()).To(BeEmpty())
+		c.listAt("w0", "w0", 0)
+		c.awaitUsable()
+	},
+	Entry("in an entry of a former run that is read late", int64(17), (*restartCluster).useAll),
+	Entry("in a wrong entry", int64(0), untouched),
+)
+
+// Guards against tasks that run twice (TWICE): a run that had answered before the list showed it
+// was called at the address of its first entry, and dropped.
+var _ = It("a restarted worker keeps what it runs though its first entry shows it at the address of another one", func() {
+	c := newRestartCluster()
+	c.runTime.Store(int64(3 * maxWorkerLease))
+	c.startLate("w0")
+	time.Sleep(renewals)
+	c.listAt("w0", "w1", 0)
+	c.useAll()
+	Consistently(c.fleet.Starts, 2*lease).Should(Equal(2))
+	Expect(c.fleet.Broken()).To(BeEmpty())
+})
+
+// Guards against tasks that wait for the end of an outage of the store: the token for a worker
+// that has restarted twice cannot rise, and the end of the lease before was not noticed.
+var _ = It("the tasks of a worker that restarts twice while the store is away run again once their lease has ended", func() {
+	c := newRestartCluster()
+	c.runTime.Store(int64(4 * maxWorkerLease))
+	severed := &severedAgent{Agent: c.agent, worker: "w0"}
+	c.agent = severed
+	c.replaceOwner()
+	c.useOnly("w0")
+	c.acceptTask("j", 1)
+	time.Sleep(restartPause)
+	late := severed.sever()
+	c.store.SetDown(true)
+	c.fleet.Restart("w0", 0, restartSize)
+	c.fleet.StartLate(timer.Boot(), cairnbay.AgentTarget{Worker: "w0"}, late)
+	Expect(c.fleet.Running("w0")).To(HaveLen(1))
+	severed.reconnect()
+	time.Sleep(renewals) // The next run answers under the last token that can be had.
+	severed.sever()
+	c.fleet.Restart("w0", 0, restartSize)
+	c.useAll()
+	Eventually(c.fleet.Starts, "15s", "10ms").Should(Equal(3))
+	Expect(c.fleet.Broken()).To(BeEmpty())
+})
+
 // Guards against work that is lost: the owner of a worker's former run stopped what the owner
 // of the class in which the worker is back had started there.
 var _ = It("a worker that is back in another class keeps the tasks that its owner there has started", func() {
--- a/internal/process/drive/replaced_worker.go
+++ b/internal/process/drive/replaced_worker.go
@@ -1,6 +1,7 @@
 package drive
 
 import (
+	"slices"
 	"time"
 )
 
@@ -19,15 +20,28 @@
 	maxReplacedPause = 32 * time.Second
 )
 
-// dropReplaced removes a worker at whose address another one answers; the caller holds
-// the lock.
-func (d *Drive) dropReplaced(l *link) {
+// dropReplaced removes a run of a worker at whose address another one answers. A former run
+// at another address is the current one again, since the entry of this one may have been out
+// of date. It returns false if the run has another address by now. The caller holds the lock.
+func (d *Drive) dropReplaced(l *link, address string) bool {
+	if l.entry.Address != address {
+		return false
+	}
 	pause := minReplacedPause
 	if gone, ok := d.replaced[l.entry.ID]; ok && gone.address == l.entry.Address {
 		pause = min(2*gone.pause, maxReplacedPause)
 	}
 	d.replaced[l.entry.ID] = replacedWorker{l.entry.Address, d.config.BootTime() + pause, pause}
+	g := l.lineage
+	for i, former := range slices.Backward(g.former) {
+		if former.entry.Address != address {
+			d.dropRun(l, "replaced")
+			d.reinstate(g, i)
+			return true
+		}
+	}
 	d.drop(l, "replaced")
+	return true
 }
 
 // retryReplaced calls the replaced workers again that are still listed; the caller holds
