node: a late release ends the claim that was lost, not a newer one

If it happens, an instance keeps the owner key of a shard and has no scheduler for it: submissions find no owner, and tasks run out, until the lease ends.

Cause: tenure takes a claim off its map and calls OnLost afterwards, on another goroutine. In between it may claim the shard again, since the owner key is still this instance's own. OnLost told the shard's name only, and release closed whatever drive the shard had by then.

Change: OnLost passes the claim. release closes the drive of that claim or of an earlier one and leaves a later one alone.

That the delay occurs in real processes is not shown.

--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -130,6 +130,7 @@
 
 // ownedShard is a shard that this instance owns.
 type ownedShard struct {
+	claim   tenure.Claim
 	drive   *drive.Drive
 	workers *workerList
 	quotas  *allot.Owner
@@ -378,7 +379,7 @@
 		Workspaces: quotas.Terms, OnQuotaHeld: quotas.Wake,
 	})
 	quotas.Start(shardDrive)
-	acquired := &ownedShard{drive: shardDrive, workers: newWorkerList(n, claim.Shard, shardDrive), quotas: quotas}
+	acquired := &ownedShard{claim: claim, drive: shardDrive, workers: newWorkerList(n, claim.Shard, shardDrive), quotas: quotas}
 	n.mu.Lock()
 	previous := n.ownedShards[claim.Shard]
 	n.ownedShards[claim.Shard] = acquired
@@ -390,14 +391,18 @@
 	}
 }
 
-// release closes the drive of a shard that this instance no longer owns.
-func (n *Node) release(shard string) {
+// release closes the drive of a claim that has ended. A later claim of the shard keeps its
+// drive.
+func (n *Node) release(claim tenure.Claim) {
 	n.mu.Lock()
-	owned := n.ownedShards[shard]
-	delete(n.ownedShards, shard)
+	owned := n.ownedShards[claim.Shard]
+	held := owned != nil && owned.claim.Generation <= claim.Generation
+	if held {
+		delete(n.ownedShards, claim.Shard)
+	}
 	n.mu.Unlock()
-	if owned != nil {
-		n.config.Log.WithField("shard", shard).Info("shard given up")
+	if held {
+		n.config.Log.WithFields(logrus.Fields{"shard": claim.Shard, "generation": claim.Generation}).Info("shard given up")
 		n.background.Go(owned.close)
 	}
 }
--- a/internal/process/node/workerlist_test.go
+++ b/internal/process/node/workerlist_test.go
@@ -69,7 +69,7 @@
 			Divide: func(_ context.Context, class string) (layout.Layout, bool) {
 				return layout.Layout{Class: class, Shards: 1}, true
 			},
-			OnAcquired: func(claim tenure.Claim) { claims <- claim }, OnLost: func(string) {},
+			OnAcquired: func(claim tenure.Claim) { claims <- claim }, OnLost: func(tenure.Claim) {},
 		})
 		DeferCleanup(elected.Close)
 		n.publishedTenure.Store(elected)
--- a/internal/process/tenure/divide_test.go
+++ b/internal/process/tenure/divide_test.go
@@ -39,7 +39,7 @@
 			Divide: func(_ context.Context, class string) (layout.Layout, bool) {
 				return layout.Layout{Class: class, Shards: shards}, shards > 0
 			},
-			OnAcquired: func(tenure.Claim) {}, OnLost: func(string) {},
+			OnAcquired: func(tenure.Claim) {}, OnLost: func(tenure.Claim) {},
 		})
 		DeferCleanup(started.Close)
 		return started
@@ -57,19 +57,19 @@
 	// Guards against the loss of a claim through late news of the one before it.
 	It("stay with an owner that abandons a former claim", func() {
 		acquired := make(chan tenure.Claim, 1)
-		lost := make(chan string, 1)
+		lost := make(chan tenure.Claim, 1)
 		instance := tenure.New(tenure.Config{
 			Store: fakeStore.For("n"), Log: log, Clock: clock, BootTime: timer.Boot,
 			Instance: "n", Address: "n:1", Cores: 1, LeaseTTL: leaseTTL, WatchStallTimeout: time.Second,
 			Classes:    func() []string { return []string{"a"} },
 			Divide:     undivided,
-			OnAcquired: func(claim tenure.Claim) { acquired <- claim }, OnLost: func(shard string) { lost <- shard },
+			OnAcquired: func(claim tenure.Claim) { acquired <- claim }, OnLost: func(claim tenure.Claim) { lost <- claim },
 		})
 		DeferCleanup(instance.Close)
 		var first, second tenure.Claim
 		Eventually(acquired, "4s").Should(Receive(&first))
 		instance.Abandon(first)
-		Eventually(lost, "4s").Should(Receive(Equal("a")))
+		Eventually(lost, "4s").Should(Receive(Equal(first)))
 		Eventually(acquired, "4s").Should(Receive(&second))
 		instance.Abandon(first)
 		Consistently(lost, "200ms").ShouldNot(Receive())
--- a/internal/process/tenure/events.go
+++ b/internal/process/tenure/events.go
@@ -56,7 +56,7 @@
 	}).Info("shard has an owner")
 	if claim, claimed := t.claims[shard]; claimed && holding.GetGeneration() > claim.Generation {
 		delete(t.claims, shard)
-		go t.config.OnLost(shard)
+		go t.config.OnLost(claim)
 	}
 }
 
--- a/internal/process/tenure/events_test.go
+++ b/internal/process/tenure/events_test.go
@@ -20,7 +20,7 @@
 		logger := logrus.New()
 		logger.SetOutput(io.Discard)
 		t = &Tenure{
-			config: Config{Instance: "self", BootTime: timer.Boot, Log: logger.WithField("test", true), OnLost: func(string) {}},
+			config: Config{Instance: "self", BootTime: timer.Boot, Log: logger.WithField("test", true), OnLost: func(Claim) {}},
 			owners: make(map[string]Owner), ownerRevisions: make(map[string]cairnbay.Revision),
 			claims: make(map[string]Claim), changed: make(chan struct{}), wake: make(chan struct{}, 1),
 		}
--- a/internal/process/tenure/renewal_test.go
+++ b/internal/process/tenure/renewal_test.go
@@ -37,8 +37,8 @@
 						claimed.Add(1)
 					}
 				},
-				OnLost: func(shard string) {
-					if name == "owner" && shard == "a" {
+				OnLost: func(claim tenure.Claim) {
+					if name == "owner" && claim.Shard == "a" {
 						lost.Add(1)
 					}
 				},
--- a/internal/process/tenure/resign_test.go
+++ b/internal/process/tenure/resign_test.go
@@ -47,7 +47,7 @@
 				Store: callerStore, Log: logger.WithField("test", true), Clock: clock, BootTime: timer.Boot,
 				Instance: name, Address: name + ":1", Cores: 1, LeaseTTL: leaseTTL, WatchStallTimeout: 2 * time.Second,
 				Classes: func() []string { return []string{"a"} }, Divide: undivided,
-				OnAcquired: func(tenure.Claim) {}, OnLost: func(string) {},
+				OnAcquired: func(tenure.Claim) {}, OnLost: func(tenure.Claim) {},
 			})
 		}
 		held := &heldReads{fakeStore.For("leaving"), make(chan struct{}, 1), make(chan struct{})}
@@ -97,7 +97,7 @@
 			Store: held, Log: logger.WithField("test", true), Clock: clock, BootTime: timer.Boot,
 			Instance: "leaving", Address: "leaving:1", Cores: 1, LeaseTTL: 1400 * time.Millisecond, WatchStallTimeout: 2 * time.Second,
 			Classes: func() []string { return nil }, Divide: undivided,
-			OnAcquired: func(tenure.Claim) {}, OnLost: func(string) {},
+			OnAcquired: func(tenure.Claim) {}, OnLost: func(tenure.Claim) {},
 		})
 		DeferCleanup(leaving.Close)
 		Eventually(func() int { return len(leaving.Nodes()) }, "4s").Should(Equal(1))
--- a/internal/process/tenure/tenure.go
+++ b/internal/process/tenure/tenure.go
@@ -63,10 +63,10 @@
 	// workers are not known.
 	Divide func(ctx context.Context, class string) (layout.Layout, bool)
 	// OnAcquired is called after this instance becomes the owner of a shard, and
-	// OnLost after it stops being the owner. Neither may block. OnLost may run on
-	// any goroutine and is not ordered with OnAcquired.
-	OnAcquired func(claim Claim)
-	OnLost     func(shard string)
+	// OnLost after the claim has ended. Neither may block. OnLost may run on any
+	// goroutine and is not ordered with OnAcquired: the shard may have been claimed
+	// again before.
+	OnAcquired, OnLost func(claim Claim)
 }
 
 // Claim describes this instance's ownership of a shard.
@@ -226,14 +226,11 @@
 	t.stopping = true
 	lease := t.lease
 	t.lease = 0
-	shards := make([]string, 0, len(t.claims))
-	for shard := range t.claims {
-		shards = append(shards, shard)
-	}
+	claims := slices.Collect(maps.Values(t.claims))
 	clear(t.claims)
 	t.mu.Unlock()
-	for _, shard := range shards {
-		t.config.OnLost(shard)
+	for _, claim := range claims {
+		t.config.OnLost(claim)
 	}
 	if lease == 0 {
 		return
@@ -255,7 +252,7 @@
 	}
 	t.mu.Unlock()
 	if claimed {
-		t.config.OnLost(shard)
+		t.config.OnLost(current)
 	}
 }
 
--- a/internal/process/tenure/tenure_test.go
+++ b/internal/process/tenure/tenure_test.go
@@ -79,10 +79,10 @@
 				started.claims[claim.Shard] = claim
 				started.acquired = append(started.acquired, claim)
 			},
-			OnLost: func(shard string) {
+			OnLost: func(claim tenure.Claim) {
 				started.mu.Lock()
 				defer started.mu.Unlock()
-				delete(started.claims, shard)
+				delete(started.claims, claim.Shard)
 			},
 		})
 		return started
@@ -190,7 +190,7 @@
 			Classes:    func() []string { return []string{"a"} },
 			Divide:     undivided,
 			OnAcquired: func(claim tenure.Claim) { claimed <- claim },
-			OnLost:     func(string) {},
+			OnLost:     func(tenure.Claim) {},
 		})
 		DeferCleanup(claimant.Close)
 		fakeStore.SetSlow(slowAnswer)
