--- a/internal/process/drive/drive.go
+++ b/internal/process/drive/drive.go
@@ -57,15 +57,14 @@
 	// work out because of its workspace's part, and must not block; nil for none.
 	Workspaces  func() []sched.WorkspaceTerms
 	OnQuotaHeld func()
-	// OnFenced is called once, after a worker has reported a newer owner; a journal
-	// write that fails with ErrFenced does not call it. It must not call Close,
-	// which waits for it.
+	// OnFenced is called once, after a worker or the store has told of a newer owner. It
+	// must not call Close, which waits for it.
 	OnFenced func()
 }
 
 // Drive is the running owner of one shard: it plans, sends orders to the
 // workers, renews their leases and writes the journal, until it is closed or a
-// worker reports a newer owner.
+// worker or the store tells of a newer owner.
 type Drive struct {
 	config Config
 	ctx    context.Context
@@ -187,6 +186,7 @@
 	d.writer = record.New(record.Config{
 		Store: config.Store, Commit: config.Store.Commit, Shard: config.Claim.Shard,
 		Generation: config.Claim.Generation, Fence: config.Claim.Fence, Log: config.Log,
+		OnFenced: func() { d.handleFenced(storeReporter) },
 	})
 	d.fence = newFence(config.Store, config.Claim.Fence.Key)
 	d.setWorkspaces()
--- a/internal/process/drive/replaced_test.go
+++ b/internal/process/drive/replaced_test.go
@@ -119,3 +119,43 @@
 	Entry("goes on with the others while the store shows it as the owner", time.Duration(0), 1),
 	Entry("extends no lease once the store does not answer", 4*time.Second, 0),
 )
+
+// Guards against tasks that a replaced owner starts on workers that its successor does not
+// reach, though the store has refused its journal writes already.
+var _ = DescribeTable("an owner whose journal write fails", func(fail func(c *cluster, owner *drive.Drive), goesOn bool) {
+	c := newCluster(1)
+	leasing := &leasingAgent{Fleet: c.fleet}
+	c.agent = leasing
+	c.startOwner().Close()
+	leasing.formerToken.Store(uint64(c.fence.Revision))
+	owner := c.startOwner()
+	DeferCleanup(owner.Close)
+	c.runTime.Store(int64(2 * time.Second))
+	c.accept(owner, "running")
+	c.accept(owner, "waiting")
+	Eventually(c.fleet.Starts, "5s", "1ms").Should(Equal(4))
+	fail(c, owner)
+	time.Sleep(50 * time.Millisecond)
+	leases := leasing.leases.Load()
+	if goesOn {
+		Eventually(c.fleet.Starts, "5s", "10ms").Should(BeNumerically(">", 4))
+		return
+	}
+	Consistently(c.fleet.Starts, "3s", "10ms").Should(Equal(4))
+	Expect(leasing.leases.Load()).To(Equal(leases))
+},
+	Entry("stops if the store refuses it because of a newer owner", func(c *cluster, owner *drive.Drive) {
+		_, err := c.store.Put(context.Background(), c.fence.Key, []byte("successor"), c.fence.Revision, 0)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(submit(owner, flatJob("j", 1), time.Second)).To(Equal(notOwner))
+	}, false),
+	Entry("goes on if the answer is lost", func(c *cluster, owner *drive.Drive) {
+		c.store.LoseAnswers(1)
+		Expect(submit(owner, flatJob("j", 1), 3*time.Second)).To(Equal(accepted))
+	}, true),
+	Entry("goes on if the store is away", func(c *cluster, owner *drive.Drive) {
+		c.store.SetDown(true)
+		Expect(submit(owner, flatJob("j", 1), 2*time.Second)).NotTo(Equal(accepted))
+		c.store.SetDown(false)
+	}, true),
+)
--- a/internal/process/record/write.go
+++ b/internal/process/record/write.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"slices"
 	"time"
@@ -106,6 +107,9 @@
 	delete(w.inFlight, ended.sequence)
 	w.mu.Unlock()
 	if err != nil {
+		if errors.Is(err, cairnbay.ErrFenced) && w.config.OnFenced != nil {
+			w.config.OnFenced()
+		}
 		w.fail(ended.entries, err)
 		return
 	}
--- a/internal/process/record/writer.go
+++ b/internal/process/record/writer.go
@@ -27,7 +27,11 @@
 	// Fence is the store key that every new owner writes, and the revision at which
 	// this owner wrote it. Each journal write expects that revision.
 	Fence cairnbay.Expectation
-	Log   *logrus.Entry
+	// OnFenced is called when the store has refused a write because of a newer owner,
+	// before the entries fail. It may be called several times and must not call Close,
+	// which waits for it; nil for none.
+	OnFenced func()
+	Log      *logrus.Entry
 }
 
 // Writer appends records to the journal. Records that are queued during a write
