node: a claim that is lost before its drive is known leaves no drive behind

What callers saw: nothing yet. If it happens, an instance answers requests for a shard of another instance by its own fenced drive, so that submissions, questions and cancellations sent to it find no owner, until it claims the shard again or restarts.

Cause: OnLost is not ordered with OnAcquired. When the watch tells of a newer owner between the claim and its drive, release finds nothing to close. The drive is fenced soon after, but Abandon finds no claim any more and so reports no loss.

Change: a fenced drive is released by its claim, whether or not the claim is still known. A second release of it does nothing.

--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -375,7 +375,13 @@
 		Routing: n.routing.Load, Advise: advise, AdviceLimits: func() (int, int) { return n.advicePool.Limits(n.position(claim.Shard)) },
 		Clock: n.config.Clock, BootTime: timer.Boot, Log: n.config.Log, Metrics: n.config.Metrics,
 		Sched: n.config.Sched, Lease: n.config.Lease, MaxLease: n.config.MaxLease, MaxSegments: maxSegments, MaxGrowth: maxGrowth,
-		OnFenced:   func() { n.background.Go(func() { n.tenure.Abandon(claim) }) },
+		OnFenced: func() {
+			n.background.Go(func() {
+				n.tenure.Abandon(claim)
+				// The loss may have been reported before the drive was known.
+				n.release(claim)
+			})
+		},
 		Workspaces: quotas.Terms, OnQuotaHeld: quotas.Wake,
 	})
 	quotas.Start(shardDrive)
