owner: a cancellation is not answered "not found" by an old list of instances

What callers saw: nothing yet; found by reading. A member whose list of instances is empty or lacks the workers of a shard answers a cancellation of a running job with "not found", and the job runs on.

Cause: the shard of a job was looked up in the list of instances, before any owner was asked. So was the list of jobs, which the operators' cancellation reads first.

Change: the shards that this member owns, and those that live members announce, count as known too, for Cancel, Explain and Jobs. For an ID of the form that the product makes, a shard that is still not known gives ErrUnavailable: nothing was cancelled, and nothing says that there is no such job.

Evidence: a job is cancelled at a member with an empty list, at the owner of its shard and at another one, and a job of an unknown shard is not "not found".

--- a/internal/process/owner/cluster_test.go
+++ b/internal/process/owner/cluster_test.go
@@ -45,8 +45,9 @@
 	self    cairnbay.Member
 	owner   *owner.Owner
 	down    bool
-	// alone says that the member sees no other member.
-	alone bool
+	// alone says that the member sees no other member, unlisted that its list of instances
+	// is empty.
+	alone, unlisted bool
 }
 
 func newCluster(workers int) *cluster {
@@ -79,7 +80,7 @@
 		member.owner = owner.New(owner.Config{
 			Clock: c.clock, Members: member, Store: c.store.For(member.self.ID), Worker: c.fleet,
 			NewPlacer: func(id cairnbay.ShardID) cairnbay.Placer { return place.New(place.Config{Shard: id}) },
-			Settings:  noSettings{}, Instances: c.fleet.Instances, Peer: c.peer, Log: discardLogger(),
+			Settings:  noSettings{}, Instances: member.instances, Peer: c.peer, Log: discardLogger(),
 		})
 		DeferCleanup(member.owner.Close)
 	}
@@ -236,6 +237,21 @@
 	return counts
 }
 
+func (m *member) instances() []cairnbay.Instance {
+	m.cluster.mu.Lock()
+	defer m.cluster.mu.Unlock()
+	if m.unlisted {
+		return nil
+	}
+	return m.cluster.fleet.Instances()
+}
+
+func (c *cluster) setUnlisted(member *member) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	member.unlisted = true
+}
+
 // Self implements cairnbay.Members.
 func (m *member) Self() cairnbay.Member { return m.self }
 
--- a/internal/process/owner/owner_test.go
+++ b/internal/process/owner/owner_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/google/uuid"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -151,6 +152,39 @@
 		cluster.advanceUntil(func() bool { return len(cluster.runningCounts()) == 0 })
 	})
 
+	// Guards against jobs that run on after their cancellation was answered with "not found".
+	DescribeTable("cancels a job at a member whose list of instances is empty", func(atOwner bool) {
+		at := cluster.activeMember()
+		id := cluster.submit(at, batchJob(3))
+		cluster.advanceUntil(func() bool { return len(cluster.runningCounts()) == 3 })
+		if !atOwner {
+			at = memberOtherThan(at)
+		}
+		cluster.setUnlisted(at)
+		views, err := at.owner.Jobs(context.Background())
+		Expect(err).NotTo(HaveOccurred())
+		Expect(views).To(HaveLen(1))
+		cancelled := make(chan error, 1)
+		go func() {
+			_, err := at.owner.Cancel(context.Background(), []cairnbay.JobID{id})
+			cancelled <- err
+		}()
+		cluster.advanceUntil(func() bool { return len(cancelled) == 1 })
+		Expect(<-cancelled).To(Succeed())
+		cluster.advanceUntil(func() bool { return len(cluster.runningCounts()) == 0 })
+	},
+		Entry("that owns its shard", true),
+		Entry("that does not own its shard", false),
+	)
+
+	DescribeTable("cancels no job of a shard that it does not know", func(id cairnbay.JobID, expected error) {
+		_, err := cluster.activeMember().owner.Cancel(context.Background(), []cairnbay.JobID{id})
+		Expect(err).To(MatchError(expected))
+	},
+		Entry("and does not say that there is none", cairnbay.JobID("tallinn-b.survey."+uuid.NewString()), cairnbay.ErrUnavailable),
+		Entry("unless the ID is not that of a job", cairnbay.JobID("tallinn-b.survey.1"), cairnbay.ErrNotFound),
+	)
+
 	Describe("after several changes of owner", func() {
 		// Guards against changes of owner that count as failures for the life of the process.
 		It("has the next owner as soon as after the first one", func() {
--- a/internal/process/owner/query.go
+++ b/internal/process/owner/query.go
@@ -83,7 +83,7 @@
 // it returns the jobs read so far and the error. Errors: ErrUnavailable, ErrUnknown.
 func (o *Owner) Jobs(ctx context.Context) ([]cairnbay.JobView, error) {
 	var views []cairnbay.JobView
-	for id := range groupByShard(o.config.Instances()) {
+	for id := range o.knownShards() {
 		if runner := o.runnerOf(id); runner != nil {
 			views = append(views, runner.jobs()...)
 			continue
@@ -108,14 +108,14 @@
 // ErrUnavailable, ErrUnknown when the call to the owner fails for another reason.
 func (o *Owner) Explain(ctx context.Context, job cairnbay.JobID) (cairnbay.Explanation, error) {
 	var explanation cairnbay.Explanation
-	id, ok := o.shardOfJob(job)
-	if !ok {
-		return explanation, errors.Annotatef(cairnbay.ErrNotFound, "job %q", job)
+	id, err := o.shardOfJob(job)
+	if err != nil {
+		return explanation, err
 	}
 	if runner := o.runnerOf(id); runner != nil {
 		return runner.explain(job)
 	}
-	err := o.queryOwner(ctx, id, queryExplain, job, &explanation)
+	err = o.queryOwner(ctx, id, queryExplain, job, &explanation)
 	return explanation, err
 }
 
@@ -170,15 +170,15 @@
 
 // Cancel cancels jobs shard by shard, with one journal write per shard, and returns
 // the number of jobs that had not finished. It stops at the first error; jobs of the
-// shards before stay cancelled and are counted. Errors: ErrNotFound, before any
+// shards before stay cancelled and are counted. Errors: those of shardOfJob, before any
 // cancellation; for the failing shard ErrUnavailable, ErrFenced and ErrClosed (not
 // cancelled) or ErrUnknown (may have been cancelled).
 func (o *Owner) Cancel(ctx context.Context, jobs []cairnbay.JobID) (int, error) {
 	byShard := map[cairnbay.ShardID][]cairnbay.JobID{}
 	for _, job := range jobs {
-		id, ok := o.shardOfJob(job)
-		if !ok {
-			return 0, errors.Annotatef(cairnbay.ErrNotFound, "job %q", job)
+		id, err := o.shardOfJob(job)
+		if err != nil {
+			return 0, err
 		}
 		byShard[id] = append(byShard[id], job)
 	}
--- a/internal/process/owner/submit.go
+++ b/internal/process/owner/submit.go
@@ -220,12 +220,40 @@
 	return cairnbay.JobID(strings.ReplaceAll(string(id), "/", ".") + "." + uuid.NewString())
 }
 
-// shardOfJob returns the shard whose name a job's ID contains.
-func (o *Owner) shardOfJob(job cairnbay.JobID) (cairnbay.ShardID, bool) {
-	for id := range groupByShard(o.config.Instances()) {
+// shardOfJob returns the shard whose name a job's ID contains. Errors: ErrUnavailable if
+// this member does not know the shard, ErrNotFound for an ID that newJobID does not make.
+func (o *Owner) shardOfJob(job cairnbay.JobID) (cairnbay.ShardID, error) {
+	for id := range o.knownShards() {
 		if strings.HasPrefix(string(job), strings.ReplaceAll(string(id), "/", ".")+".") {
-			return id, true
+			return id, nil
+		}
+	}
+	if _, err := uuid.Parse(string(job)[strings.LastIndexByte(string(job), '.')+1:]); err != nil {
+		return "", errors.Annotatef(cairnbay.ErrNotFound, "job %q", job)
+	}
+	return "", errors.Annotatef(cairnbay.ErrUnavailable, "the shard of job %q is not known", job)
+}
+
+// knownShards returns the shards of the listed workers, and those that this member or
+// another live one owns: the list may be old, or not read yet.
+func (o *Owner) knownShards() map[cairnbay.ShardID]bool {
+	known := make(map[cairnbay.ShardID]bool)
+	for id := range groupByShard(o.config.Instances()) {
+		known[id] = true
+	}
+	for _, runner := range o.runners() {
+		known[runner.shard] = true
+	}
+	live := make(map[string]bool)
+	for _, member := range o.config.Members.Live() {
+		live[member.ID] = true
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for id, owner := range o.announced {
+		if live[owner.memberID] {
+			known[id] = true
 		}
 	}
-	return "", false
+	return known
 }
