record: a write that may be stored is not reported as refused

A caller can get 503 for a job that the next owner has accepted and runs: its submission counted as refused by an owner that is no longer the owner.

Cause: after a write without an answer, the next try conflicts once a newer owner exists. The segment was then looked up, and its absence taken as proof that the first try had no effect.

Change: such a write gives ErrUnknown, which the drive passes on as uncertain and the gate as 504, after further tries at the next owner. If every earlier try was refused by the store, it is ErrFenced as before. The writer stops and reports the newer owner in both cases.

Evidence: a spec in which the store takes the first try and loses its answer, the newer owner claims and removes the segment.

--- a/internal/process/record/record_test.go
+++ b/internal/process/record/record_test.go
@@ -118,6 +118,29 @@
 		Expect(loadIDs()).To(BeEmpty())
 	})
 
+	// Guards against a refusal of an accepted job: the store has a write without an answer, and
+	// the next owner has removed its segment after reading it.
+	It("does not say that records are not stored if an earlier try may have stored them", func() {
+		writer.Close()
+		fencings := make(chan struct{}, 10)
+		writer = record.New(record.Config{
+			Store: fakeStore, Shard: "c", Generation: 1, Fence: fence, Log: discardLog(),
+			OnFenced: func() { fencings <- struct{}{} },
+			Commit: func(ctx context.Context, batch cairnbay.Batch) (cairnbay.Revision, error) {
+				revision, err := fakeStore.Commit(ctx, batch)
+				if err != nil {
+					return revision, err
+				}
+				fakeStore.Force(fenceKey, []byte("2"))
+				fakeStore.Drop(batch.Puts[0].Key)
+				return 0, cairnbay.ErrUnknown
+			},
+		})
+		Eventually(appendRecord("a"), "3s").Should(Receive(MatchError(cairnbay.ErrUnknown)))
+		Eventually(appendRecord("b"), "2s").Should(Receive(MatchError(cairnbay.ErrFenced)))
+		Expect(fencings).To(HaveLen(1))
+	})
+
 	It("withdraws only the entries of TryAppend while the store refuses writes", func() {
 		fakeStore.SetDown(true)
 		ended, submitted := appendRecord("end"), tryAppend("submission")
--- a/internal/process/record/try.go
+++ b/internal/process/record/try.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	jujuerrors "github.com/juju/errors"
@@ -12,6 +13,10 @@
 	"cairnbay"
 )
 
+// errOvertaken says that a newer owner exists and that an earlier try of the write may have
+// taken effect before: that owner removes segments once it has rewritten the journal.
+var errOvertaken = fmt.Errorf("written before the claim of a newer owner or not at all: %w", cairnbay.ErrUnknown)
+
 // outcome is the result of one try of a write. latency is that of the store, 0 if
 // the try does not tell; revision is that of the write.
 type outcome struct {
@@ -23,8 +28,8 @@
 // store makes a write. While no try is answered it repeats the write after
 // repeatAfter beside the earlier tries, after a failed try it pauses. Entries
 // that are withdrawn meanwhile are removed from the write. Errors: ErrFenced when a
-// newer owner exists and the write certainly had no effect, ErrUnknown when the
-// writer closes.
+// newer owner exists and the write certainly had no effect, errOvertaken when it may have
+// had one, ErrUnknown when the writer closes.
 func (w *Writer) store(ctx context.Context, next *write) error {
 	if err := next.encode(); err != nil || next.empty() {
 		return err
@@ -61,6 +66,9 @@
 				return nil
 			}
 			if errors.Is(ended.err, cairnbay.ErrFenced) {
+				if !refusedOnly || unanswered > 0 {
+					return errOvertaken
+				}
 				return ended.err
 			}
 			if pause == minRetryPause {
--- a/internal/process/record/write.go
+++ b/internal/process/record/write.go
@@ -107,10 +107,7 @@
 	delete(w.inFlight, ended.sequence)
 	w.mu.Unlock()
 	if err != nil {
-		if errors.Is(err, cairnbay.ErrFenced) && w.config.OnFenced != nil {
-			w.config.OnFenced()
-		}
-		w.fail(ended.entries, err)
+		w.stop(ended, err)
 		return
 	}
 	w.writes.Add(uint64(len(ended.puts)))
@@ -123,6 +120,22 @@
 	}
 }
 
+// stop stops the writer after a failed write.
+func (w *Writer) stop(failed *write, err error) {
+	overtaken := errors.Is(err, errOvertaken)
+	if (overtaken || errors.Is(err, cairnbay.ErrFenced)) && w.config.OnFenced != nil {
+		w.config.OnFenced()
+	}
+	if !overtaken {
+		w.fail(failed.entries, err)
+		return
+	}
+	w.fail(nil, cairnbay.ErrFenced)
+	for _, entry := range failed.entries {
+		entry.done(err)
+	}
+}
+
 // apply updates the list of keys and the rewrite under way after a write. It
 // returns the rewrite if this was its last part.
 func (w *Writer) apply(stored *write) *rewrite {
--- a/internal/process/record/writer.go
+++ b/internal/process/record/writer.go
@@ -138,7 +138,8 @@
 // Append queues records. done is called once: with nil when they are stored; with
 // ErrFenced when a newer owner exists or the writer had stopped before, and they
 // are certainly not stored; with ErrUnknown when the writer is closed while they
-// are queued or being written; or with the error of encoding them.
+// are queued or being written, or when a newer owner exists and they may have been
+// stored before its claim; or with the error of encoding them.
 func (w *Writer) Append(records []*cairnbayv1.WorkRecord, done func(error)) {
 	w.append(entry{records: records, done: done})
 }
