gate: an owner that waits for the store is not taken for one out of reach

What callers saw: GET and DELETE of an unknown job take until the caller's deadline, in place of the two seconds that are stated, while the store is silent and the owner's answers take over 100 ms to arrive. The owner counts as not reached meanwhile, which makes an instance unready after 2 s.

Cause: the owner waits 600 ms for the store before it says that it is not confirmed, and the gate gave up its call after 700 ms. A call that ends so is repeated until the deadline, since the owner may have been replaced.

Change: calls that the owner may have to confirm have 300 ms for the way there and back. A call to an owner that is gone takes 900 ms instead of 700 before it is repeated; submissions keep 700 ms.

--- a/internal/process/drive/confirm.go
+++ b/internal/process/drive/confirm.go
@@ -16,10 +16,10 @@
 	// owner, or after a majority of its workers last accepted its fencing token. Three
 	// renewals, each of at most renewWait + renewMargin, fit into it.
 	confirmWindow = 2500 * time.Millisecond
-	// fenceTimeout bounds the wait for a read of the fence, below the time that another
+	// FenceTimeout bounds the wait for a read of the fence, below the time that another
 	// instance waits for an answer of this one. The reads begin fenceInterval apart at
 	// least, so that they stay a small part of what the store allows.
-	fenceTimeout  = 600 * time.Millisecond
+	FenceTimeout  = 600 * time.Millisecond
 	fenceInterval = 20 * time.Millisecond
 	// confirmPeriod is the time between reads of the fence by an owner that does not reach a
 	// majority of its workers. Two of them may fail within confirmWindow.
@@ -31,7 +31,7 @@
 // newFence returns a reader of the revision at which the shard was last claimed.
 func newFence(store cairnbay.Store, key string) *fresh.Reader[cairnbay.Revision] {
 	return fresh.New(fresh.Config[cairnbay.Revision]{
-		Timeout: fenceTimeout, Interval: fenceInterval,
+		Timeout: FenceTimeout, Interval: fenceInterval,
 		Read: func(ctx context.Context) (cairnbay.Revision, error) {
 			entry, err := store.Get(ctx, key)
 			return entry.Revision, err
@@ -43,7 +43,7 @@
 // answer that something does not exist needs it: a replaced owner lacks what its successor
 // has accepted. Errors: ErrNotOwner; ErrUnconfirmed if the store does not answer.
 func (d *Drive) confirm(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, fenceTimeout)
+	ctx, cancel := context.WithTimeout(ctx, FenceTimeout)
 	defer cancel()
 	calledAt := d.config.BootTime()
 	revision, err := d.fence.Get(ctx)
--- a/internal/process/drive/inquire.go
+++ b/internal/process/drive/inquire.go
@@ -178,7 +178,7 @@
 	}
 	d.mu.Unlock()
 	// Both waits together, as callers on other instances wait no longer.
-	ctx, cancel := context.WithTimeout(ctx, fenceTimeout)
+	ctx, cancel := context.WithTimeout(ctx, FenceTimeout)
 	defer cancel()
 	if length.QueueAbsent {
 		switch err := d.confirm(ctx); {
--- a/internal/request/gate/cancel.go
+++ b/internal/request/gate/cancel.go
@@ -135,7 +135,7 @@
 			return jobMaySpread, nil
 		}
 	}
-	ctx, cancel := context.WithTimeout(ctx, ownerCallTimeout)
+	ctx, cancel := context.WithTimeout(ctx, confirmedCallTimeout)
 	defer cancel()
 	response, err := g.config.Relay.Client(owner.Address).Cancel(ctx, connect.NewRequest(&cairnbayv1.CancelWorkflowRequest{
 		Shard: shard, Id: callerReq.id, Scope: callerReq.scope, Queue: encodePath(callerReq.queue.Path()),
--- a/internal/request/gate/gate.go
+++ b/internal/request/gate/gate.go
@@ -161,6 +161,13 @@
 	// ownerCallTimeout is the timeout of one call to an owner. It is well below
 	// defaultTimeout, so that the call can be repeated.
 	ownerCallTimeout = 700 * time.Millisecond
+	// confirmedCallTimeout is the timeout of a call whose answer the owner may have to
+	// confirm by the store, which takes it drive.FenceTimeout if the store is silent. The
+	// rest is for the way there and back: a call that ends before the owner's answer counts
+	// as one that the owner has not answered.
+	confirmedCallTimeout = drive.FenceTimeout + transitMargin
+	// transitMargin is the time that a call to another instance may be under way.
+	transitMargin = 300 * time.Millisecond
 	// noOwnerRetryAfter is the Retry-After while a class has no owner. The next
 	// owner usually takes over within this time.
 	noOwnerRetryAfter = 2 * time.Second
--- a/internal/request/gate/inspect.go
+++ b/internal/request/gate/inspect.go
@@ -126,7 +126,7 @@
 		finding, err := localDrive.Inquire(ctx, inquiry)
 		return finding, ownerError(err)
 	}
-	ctx, cancel := context.WithTimeout(ctx, ownerCallTimeout)
+	ctx, cancel := context.WithTimeout(ctx, confirmedCallTimeout)
 	defer cancel()
 	response, err := g.config.Relay.Client(owner.Address).Inspect(ctx, connect.NewRequest(&cairnbayv1.InspectWorkflowRequest{
 		Shard: shard, Id: inquiry.ID, Scope: inquiry.Scope, Queue: encodePath(inquiry.Queue),
--- a/internal/request/gate/length.go
+++ b/internal/request/gate/length.go
@@ -98,7 +98,7 @@
 		length, err := localDrive.Length(ctx, inquiry)
 		return length, ownerError(err)
 	}
-	ctx, cancel := context.WithTimeout(ctx, ownerCallTimeout)
+	ctx, cancel := context.WithTimeout(ctx, confirmedCallTimeout)
 	defer cancel()
 	response, err := g.config.Relay.Client(owner.Address).Length(ctx, connect.NewRequest(&cairnbayv1.LengthRequest{
 		Shard: shard, Queue: inquiry.Name, Path: encodePath(inquiry.Path), Absence: inquiry.Absence,
--- a/internal/request/gate/local_test.go
+++ b/internal/request/gate/local_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
 	"time"
@@ -43,6 +44,8 @@
 	view gate.Owners
 	// peer, if set, makes gates call the owners as those of another instance.
 	peer *relay.Relay
+	// transit is how long calls to them are under way.
+	transit time.Duration
 	// outdated says that configurations may be out of date.
 	outdated atomic.Bool
 	// runTime is that of each task.
@@ -129,12 +132,25 @@
 	serving := relay.New(relay.Config{Drive: func(shard string) *drive.Drive { return l.drives[shard] }})
 	server := httptest.NewServer(serving.Handler())
 	DeferCleanup(server.Close)
-	l.peer = relay.New(relay.Config{Client: server.Client()})
+	client := server.Client()
+	client.Transport = slowLink{client.Transport, l.transit}
+	l.peer = relay.New(relay.Config{Client: client})
 	for shard := range l.owners {
 		l.owners[shard] = tenure.Owner{Instance: "peer", Address: server.Listener.Addr().String()}
 	}
 }
 
+// slowLink delays calls.
+type slowLink struct {
+	http.RoundTripper
+	transit time.Duration
+}
+
+func (l slowLink) RoundTrip(request *http.Request) (*http.Response, error) {
+	time.Sleep(l.transit)
+	return l.RoundTripper.RoundTrip(request)
+}
+
 // supersede claims a shard for an instance of which its owner has not heard.
 func (l *localOwners) supersede(shard string) {
 	key := "generation/" + shard
--- a/internal/request/gate/replaced_test.go
+++ b/internal/request/gate/replaced_test.go
@@ -38,11 +38,15 @@
 	Entry("for a question about its state without the store", http.MethodGet, true, withoutStore),
 )
 
+// slowTransit is the time of a call over a slow link.
+const slowTransit = 150 * time.Millisecond
+
 // Guards against callers that wait for their deadline while the store does not answer.
 var _ = DescribeTable("a caller that asks for an unknown job learns within two seconds that the store does not answer",
-	func(method string, disrupt func(m *movedQueue)) {
+	func(method string, transit time.Duration, disrupt func(m *movedQueue)) {
 		m := newMovedQueue("a")
 		m.accept("known")
+		m.transit = transit
 		m.moveAway()
 		handler := m.newGate(m.routing.Load)
 		disrupt(m)
@@ -52,9 +56,11 @@
 		Expect(time.Since(askedAt)).To(BeNumerically("<", 2*time.Second))
 		Expect(handler.FailingFor()).To(BeZero(), "the owner has answered")
 	},
-	Entry("at once, for a cancellation", http.MethodDelete, withoutStore),
-	Entry("ever, for a cancellation", http.MethodDelete, silentStore),
-	Entry("ever, for a question about its state", http.MethodGet, silentStore),
+	Entry("at once, for a cancellation", http.MethodDelete, time.Duration(0), withoutStore),
+	Entry("ever, for a cancellation", http.MethodDelete, time.Duration(0), silentStore),
+	Entry("ever, for a question about its state", http.MethodGet, time.Duration(0), silentStore),
+	Entry("ever, for a cancellation over a slow link", http.MethodDelete, slowTransit, silentStore),
+	Entry("ever, for a question about its state over a slow link", http.MethodGet, slowTransit, silentStore),
 )
 
 // Guards against jobs that run although their cancellation was acknowledged (UNASKED): a
