--- a/internal/process/record/writer.go
+++ b/internal/process/record/writer.go
@@ -27,7 +27,11 @@
 	// Fence is the store key that every new owner writes, and the revision at which
 	// this owner wrote it. Each journal write expects that revision.
 	Fence cairnbay.Expectation
-	Log   *logrus.Entry
+	// OnFenced is called when the store has refused a write because of a newer owner,
+	// before the entries fail. It may be called several times and must not call Close,
+	// which waits for it; nil for none.
+	OnFenced func()
+	Log      *logrus.Entry
 }
 
 // Writer appends records to the journal. Records that are queued during a write
@@ -134,7 +138,8 @@
 // Append queues records. done is called once: with nil when they are stored; with
 // ErrFenced when a newer owner exists or the writer had stopped before, and they
 // are certainly not stored; with ErrUnknown when the writer is closed while they
-// are queued or being written; or with the error of encoding them.
+// are queued or being written, or when a newer owner exists and they may have been
+// stored before its claim; or with the error of encoding them.
 func (w *Writer) Append(records []*cairnbayv1.WorkRecord, done func(error)) {
 	w.append(entry{records: records, done: done})
 }
