drive: what is learned of a worker that drained before is journaled

What callers saw: a task could run twice (TWICE). A worker drained, no longer did, restarted and carried out a start for its former run. An owner that restarted then, with a list from before that, counted the usual lease.

--- a/internal/process/drive/confine.go
+++ b/internal/process/drive/confine.go
@@ -10,7 +10,7 @@
 // owners accepted. The caller holds the lock.
 func (d *Drive) confine(l *link) {
 	_, inherited := d.inherited[l.entry.ID]
-	if !l.draining || l.confined || !l.journaled || inherited || l.answeredAt == 0 || l.endsTruncated || len(l.lineage.former) > 0 {
+	if !l.draining || l.confined || !l.journaled || l.unconfining || inherited || l.answeredAt == 0 || l.endsTruncated || len(l.lineage.former) > 0 {
 		return
 	}
 	l.confined, l.entry.Draining = true, true
@@ -20,7 +20,7 @@
 // unconfine lets a worker that is no longer draining take tasks once the journal says
 // so; the caller holds the lock.
 func (d *Drive) unconfine(l *link) {
-	l.confined, l.journaled, l.entry.Draining = false, false, false
+	l.confined, l.unconfining, l.entry.Draining = false, true, false
 	d.core.SetReachable(d.now(), l.entry.ID, false)
 }
 
--- a/internal/process/drive/link.go
+++ b/internal/process/drive/link.go
@@ -26,8 +26,9 @@
 	// only, and that entry is that of the former one.
 	unlisted bool
 	// journaled says that the journal lists the worker as used, so that the next
-	// owner assumes that tasks run there until the worker answers it.
-	journaled bool
+	// owner assumes that tasks run there until the worker answers it; unconfining that the
+	// record by which a confined worker takes tasks again is not stored yet.
+	journaled, unconfining bool
 	// releases counts the records by which the worker is no longer used.
 	releases int
 	// clock is the worker's clock in its last answer, and answeredAt the boot time
@@ -303,7 +304,7 @@
 	if !l.journaled {
 		return
 	}
-	l.journaled = false
+	l.journaled, l.unconfining = false, false
 	l.releases++
 	d.writer.Append([]*cairnbayv1.WorkRecord{{Released: l.entry.ID}}, d.logStoreFailure("worker release"))
 }
@@ -345,7 +346,7 @@
 		d.config.Log.WithFields(logrus.Fields{"worker": l.entry.ID, "failures": l.failures}).Info("worker regained")
 		l.failures, l.lapsed, l.usualLapsed, l.departed = 0, false, false, false
 	}
-	unjournaled := !l.journaled
+	unjournaled := !l.journaled || l.unconfining
 	if !unjournaled {
 		d.core.SetReachable(d.now(), l.entry.ID, true)
 	}
@@ -433,8 +434,8 @@
 			return
 		}
 		d.mu.Lock()
-		if used && !l.journaled && l.releases == releases {
-			l.journaled = true
+		if used && (!l.journaled || l.unconfining) && l.releases == releases {
+			l.journaled, l.unconfining = true, false
 			d.handleJournaled(l)
 		}
 		ends.stored = true
--- a/internal/process/drive/long_lease_test.go
+++ b/internal/process/drive/long_lease_test.go
@@ -170,6 +170,19 @@
 		c.listBorn("w0", 0)
 		listElsewhere(c)
 	}),
+	// Guards against a mark that was not journaled: the worker was about to be used again.
+	Entry("under its owner after a restart, which reads an older list, though it drained before", func(c *restartCluster) {
+		c.drain("w0", true)
+		time.Sleep(renewals) // The renewal that is under way is answered.
+		c.drain("w0", false)
+		listFormer(c)
+	}, func(c *restartCluster) {
+		former := c.listedBorn["w0"]
+		c.listBorn("w0", 0)
+		time.Sleep(restartPause)
+		c.listBorn("w0", former)
+		c.restartOwner()
+	}),
 )
 
 // listHere, listElsewhere and listFormer set what the list tells of the next run of a worker:
--- a/internal/process/drive/restart_test.go
+++ b/internal/process/drive/restart_test.go
@@ -53,6 +53,8 @@
 	// name; listedElsewhere are the workers that the list says to be of another class.
 	listedBorn      map[string]int64
 	listedElsewhere map[string]bool
+	// draining are the workers that the list says to be draining.
+	draining map[string]bool
 }
 
 // earlierClocks lets the clock of each life start before that of the one before it, so that
@@ -61,7 +63,7 @@
 
 func newRestartCluster() *restartCluster {
 	c := &restartCluster{ownedCluster: ownedCluster{cluster: newCluster(0)}, names: []string{"w0", "w1", "w2", "w3"}}
-	c.listedBorn, c.listedElsewhere = make(map[string]int64), make(map[string]bool)
+	c.listedBorn, c.listedElsewhere, c.draining = make(map[string]int64), make(map[string]bool), make(map[string]bool)
 	c.fleet = agent.New(agent.Config{
 		Now:     timer.Boot,
 		RunTime: func(cairnbay.WorkflowTask) time.Duration { return time.Duration(c.runTime.Load()) },
@@ -121,6 +123,7 @@
 	born := cmp.Or(c.listedBorn[life.Address], life.BornUnixMS)
 	entry, err := platform.DecodeWorker(platform.WorkerPrefix+life.Address, stand.Entry(class, c.address(life.Address), "z", "r", life.Capacity, born))
 	Expect(err).NotTo(HaveOccurred())
+	entry.Draining = c.draining[life.Address]
 	return entry
 }
 
@@ -148,6 +151,14 @@
 	c.listedElsewhere[name] = true
 }
 
+// drain lists a worker as draining or no longer so, and waits until the owner knows.
+func (c *restartCluster) drain(name string, draining bool) {
+	c.mu.Lock()
+	c.draining[name] = draining
+	c.mu.Unlock()
+	time.Sleep(restartPause)
+}
+
 // born is the start of a worker's process.
 func (c *restartCluster) born(name string) int64 {
 	lives := c.fleet.Lives()
