drive: tasks and ends of a worker that is back in another class are left to its owner there

What callers saw: the owner of a worker's former run stopped the tasks that the owner of its present class had started there, and acknowledged their ends, which that owner then never read (work lost, TWICE).

Cause: a run that is known from the list of another shard, or from an answer only, was treated as a worker of this shard. The attempts of jobs that this owner does not know counted as of no job.

Change: an attempt of a job that the core does not have, or of a task that it does not have, is stopped only at workers that the shard lists. One of a job that is known to have ended is stopped anywhere, since the other owner need not know of the cancellation. Ends are acknowledged only to runs that have been listed.

--- a/internal/process/drive/link.go
+++ b/internal/process/drive/link.go
@@ -196,8 +196,9 @@
 	target := l.target()
 	order := cairnbay.AgentHold{Token: l.lineage.token, Wait: renewWait}
 	// A renewal after one without an answer may reach another run, which numbers its ends
-	// anew and must not drop any of them.
-	if !l.restartable() || l.listsEnds && l.failures == 0 {
+	// anew and must not drop any of them. Those of a worker of another shard are acknowledged
+	// by its owner there, once it has read them.
+	if !l.restartable() || l.listsEnds && l.failures == 0 && !l.unlisted {
 		order.Acked = l.acked
 	}
 	// A renewal without an answer may have extended the lease. Renewals of a silent worker
@@ -362,7 +363,7 @@
 	for _, id := range ended {
 		d.resolveInherited(id)
 	}
-	if l.worksElsewhere(now.BootTime, state, result) {
+	if d.worksElsewhere(l, now.BootTime, state, result) {
 		d.drop(l, "unlisted")
 	}
 	var used []*cairnbayv1.WorkRecord
@@ -371,6 +372,11 @@
 		used = append(used, d.workerRecord(l))
 	}
 	d.confine(l)
+	pause := time.Duration(0)
+	if l.unlisted && l.listsEnds {
+		// The worker answers at once while its ends are not acknowledged.
+		pause = renewRetryPause
+	}
 	d.mu.Unlock()
 	d.logEnds(l, result)
 	records := append(encodeRecords(result.Records), used...)
@@ -380,15 +386,16 @@
 		d.requestPlan()
 	}
 	if result.LastSequence <= l.lastAcked(d) && len(records) == 0 {
-		return 0
+		return pause
 	}
-	return d.acknowledge(l, records, result, len(used) > 0)
+	return max(pause, d.acknowledge(l, records, result, len(used) > 0))
 }
 
 // worksElsewhere says whether a run that is still not listed belongs to another class, or
-// shard: its answer tells of no task of this one.
-func (l *link) worksElsewhere(now time.Duration, state cairnbay.AgentState, result sched.HoldResult) bool {
-	return l.unlisted && now-l.openedAt > unlistedTimeout && len(state.Running) == 0 && !state.EndsTruncated &&
+// shard: its answer tells of no task of this one. The caller holds the lock.
+func (d *Drive) worksElsewhere(l *link, now time.Duration, state cairnbay.AgentState, result sched.HoldResult) bool {
+	return l.unlisted && now-l.openedAt > unlistedTimeout && !state.EndsTruncated &&
+		!slices.ContainsFunc(state.Running, func(running cairnbay.AgentTask) bool { return d.core.HasJob(running.Task.Job) }) &&
 		!slices.ContainsFunc(result.Ends, func(end sched.AttemptEnd) bool { return end.JobKnown })
 }
 
--- a/internal/process/drive/relisted_test.go
+++ b/internal/process/drive/relisted_test.go
@@ -3,13 +3,14 @@
 import (
 	"context"
 	"math"
-	"os"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"cairnbay"
+	"cairnbay/internal/process/drive"
 	"cairnbay/internal/process/timer"
 )
 
@@ -172,26 +173,92 @@
 	Expect(c.fleet.Broken()).To(BeEmpty())
 })
 
-// Guards against work that is lost: the owner of a worker's former run stopped what the owner
-// of the class in which the worker is back had started there.
-var _ = It("a worker that is back in another class keeps the tasks that its owner there has started", func() {
-	if os.Getenv("CAIRNBAY_SKIP_KNOWN_RED") != "" {
-		Skip("listed in KNOWN-RED.txt")
-	}
-	c := newRestartCluster()
+// runElsewhere restarts a worker in another class, where its owner starts a task.
+func (c *restartCluster) runElsewhere(name string, ran time.Duration) {
 	c.awaitUsable()
-	c.runTime.Store(int64(2 * maxWorkerLease))
-	c.fleet.Restart("w0", 0, restartSize)
-	c.listElsewhere("w0")
-	target := cairnbay.AgentTarget{Worker: "w0"}
-	foreign := cairnbay.WorkflowTask{Job: "foreign"}
+	c.runTime.Store(int64(ran))
+	c.fleet.Restart(name, 0, restartSize)
+	c.listElsewhere(name)
+	target := cairnbay.AgentTarget{Worker: name}
 	// The other owner claimed its shard before this one.
 	state, err := c.fleet.Hold(context.Background(), target, cairnbay.AgentHold{Token: 1})
 	Expect(err).NotTo(HaveOccurred())
 	_, err = c.fleet.Start(context.Background(), target, cairnbay.AgentStart{
-		Task: foreign, Attempt: 1, Token: 1, LeaseEnd: state.Clock + maxWorkerLease,
+		Task: cairnbay.WorkflowTask{Job: "foreign"}, Attempt: 1, Token: 1, LeaseEnd: state.Clock + maxWorkerLease,
 	})
 	Expect(err).NotTo(HaveOccurred())
+}
+
+// Guards against work that is lost: the owner of a worker's former run stopped what the owner
+// of the class in which the worker is back had started there.
+var _ = It("a worker that is back in another class keeps the tasks that its owner there has started", func() {
+	c := newRestartCluster()
+	c.runElsewhere("w0", 2*maxWorkerLease)
 	time.Sleep(2 * time.Second)
 	Expect(c.fleet.Running("w0")).To(HaveLen(1))
 })
+
+// Guards against tasks that are done and run again (TWICE): the owner of a worker's former run
+// acknowledged an end before the owner of the class in which the worker is back had read it.
+var _ = It("a worker that is back in another class keeps the ends of the tasks that its owner there has started", func() {
+	c := newRestartCluster()
+	calls := &meteredAgent{Agent: c.agent}
+	c.agent = calls
+	c.replaceOwner()
+	c.runElsewhere("w0", restartPause)
+	time.Sleep(2 * time.Second)
+	state, err := c.fleet.Hold(context.Background(), cairnbay.AgentTarget{Worker: "w0"}, cairnbay.AgentHold{Token: math.MaxInt64})
+	Expect(err).NotTo(HaveOccurred())
+	Expect(state.Ended).To(HaveLen(1))
+	Expect(calls.holds.Load()).To(BeNumerically("<", 100))
+})
+
+// meteredAgent counts the renewals of w0.
+type meteredAgent struct {
+	cairnbay.Agent
+	holds atomic.Int64
+}
+
+func (a *meteredAgent) Hold(ctx context.Context, target cairnbay.AgentTarget, order cairnbay.AgentHold) (cairnbay.AgentState, error) {
+	if cairnbay.WorkerName(target.Worker) == "w0" {
+		a.holds.Add(1)
+	}
+	return a.Agent.Hold(ctx, target, order)
+}
+
+// Guards against leases that two owners extend: that of a worker's former run renewed them for
+// as long as the worker ran tasks in its other class.
+var _ = It("a worker that is back in another class is left to its owner there, though it is never idle", func() {
+	c := newRestartCluster()
+	calls := &meteredAgent{Agent: c.agent}
+	c.agent = calls
+	c.replaceOwner()
+	c.runElsewhere("w0", time.Minute)
+	time.Sleep(dropTime)
+	before := calls.holds.Load()
+	time.Sleep(renewals)
+	Expect(calls.holds.Load()).To(Equal(before))
+})
+
+// Guards against tasks that run on after their job was cancelled (UNASKED): the core keeps no
+// more than the identity of a job that has ended.
+var _ = It("a worker that is back in another class runs no task of a job that its former owner has cancelled", func() {
+	c := newRestartCluster()
+	c.runTime.Store(int64(2 * maxWorkerLease))
+	severed := &severedAgent{Agent: c.agent, worker: "w0"}
+	c.agent = severed
+	c.replaceOwner()
+	c.useOnly("w0")
+	c.acceptTask("j", 1)
+	Expect(c.owner.Cancel(context.Background(), drive.Cancellation{ID: "j"})).To(Succeed())
+	Eventually(func() any { return c.fleet.Running("w0") }, "5s", "10ms").Should(BeEmpty())
+	time.Sleep(renewals)
+	late := severed.sever()
+	time.Sleep(renewals) // The renewal that is under way is answered.
+	c.listElsewhere("w0")
+	c.fleet.Restart("w0", 0, restartSize)
+	c.fleet.StartLate(timer.Boot(), cairnbay.AgentTarget{Worker: "w0"}, late)
+	Expect(c.fleet.Running("w0")).To(HaveLen(1))
+	severed.reconnect()
+	Eventually(func() any { return c.fleet.Running("w0") }, "2s", "10ms").Should(BeEmpty())
+})
--- a/internal/process/sched/plan.go
+++ b/internal/process/sched/plan.go
@@ -153,7 +153,7 @@
 				attempt.stopCause = CauseStartUnanswered
 				c.abortGang(attempt)
 			}
-			if attempt.stopCause == "" || attempt.stopInFlight {
+			if attempt.stopCause == "" || attempt.stopInFlight || c.isForeign(attempt) {
 				continue
 			}
 			// A call to the worker has failed, but its orders may arrive. So it gets each
@@ -170,6 +170,13 @@
 	return actions
 }
 
+// isForeign says whether an attempt may be of another shard, which the worker belongs to now:
+// this one neither lists the worker nor has the task, and knows of no end of the job.
+func (c *Core) isForeign(a *attempt) bool {
+	job := c.jobs[a.ref.Job]
+	return a.stage == nil && !a.worker.listed && (job == nil || !job.ended)
+}
+
 // sendStop orders the stop of an attempt that is marked for it.
 func sendStop(now Moment, a *attempt) Action {
 	a.stopSentAt, a.stopInFlight = now.BootTime, true
