drive: the lease of a run that has answered an order for the former one is counted in full

What callers saw: a task could run twice (TWICE). A worker restarted, answered a start for its former run and carried out the renewals after that without answers. Its task started elsewhere while it still held its lease.

Cause: the owner knew from the clock in the answer that another run has the lease, and counted the longest one from then on, but went on to send renewals with a time of the former clock, each of which extends it. And a clock less than a second behind passed for a slow one, while the allowance for the lease is 300 ms.

Change: once an order was answered by another run, calls to it grant no lease until a renewal that was sent later has told which run it is. The clock in an answer may lie behind by what a slow clock explains, and by 100 ms.

--- a/internal/process/drive/leases.go
+++ b/internal/process/drive/leases.go
@@ -177,13 +177,27 @@
 	return false
 }
 
-// maxClockError is by how much the clock in an answer may lie behind the expected one, because
-// the worker's clock is slow or answers overtake each other.
-const maxClockError = time.Second
+// maxClockError is by how much the clock in an answer may lie behind that of a worker whose
+// clock is slow. The lease of another run within it lasts longer by as much, for which
+// transitMargin allows.
+const maxClockError = 100 * time.Millisecond
 
 // isOtherRun says whether an answer to an order sent at a boot time is of another run than
 // that of the link. The clock of each run starts anywhere, but one that is ahead refuses the
 // order as late.
 func (l *link) isOtherRun(clock, sent time.Duration) bool {
-	return l.restartable() && l.answeredAt > 0 && clock > 0 && clock+maxClockError < l.clock+(sent-l.answeredAt)
+	elapsed := sent - l.answeredAt
+	drift := time.Duration(float64(elapsed.Abs()) * (clockDriftFactor - 1))
+	return l.restartable() && l.answeredAt > 0 && clock > 0 && clock+maxClockError+drift < l.clock+elapsed
+}
+
+// handleOtherClock handles an answer to an order by the clock of another run. Further calls
+// would extend its lease beyond what is counted here, so they grant none until a renewal has
+// told which run it is. The caller holds the lock.
+func (d *Drive) handleOtherClock(l *link, clock, sent time.Duration) {
+	d.config.Log.WithFields(logrus.Fields{
+		"worker": l.entry.ID, "clock_ms": clock.Milliseconds(), "expected_ms": (l.clock + sent - l.answeredAt).Milliseconds(),
+	}).Info("order answered by another run")
+	l.doubtedAt = d.config.BootTime()
+	d.extendFormerLease(l)
 }
--- a/internal/process/drive/link.go
+++ b/internal/process/drive/link.go
@@ -44,6 +44,9 @@
 	// grantedAt is the boot time at which this owner last sent a call that grants a lease; 0
 	// before the first one.
 	grantedAt time.Duration
+	// doubtedAt is the boot time at which another run has answered an order; 0 since the run
+	// of the link has answered a later renewal.
+	doubtedAt time.Duration
 	// unanswered are attempts with a start that had no answer, the last one at the boot time
 	// unansweredAt. Another run of the worker may carry out that start.
 	unanswered   []sched.PlacedAttempt
@@ -210,7 +213,7 @@
 	} else {
 		d.logUnconfirmed(sent)
 	}
-	if confirmed && (l.failures == 0 || sent-l.answeredAt <= maxRenewSilence && !d.leaving(l)) {
+	if confirmed && l.doubtedAt == 0 && (l.failures == 0 || sent-l.answeredAt <= maxRenewSilence && !d.leaving(l)) {
 		order.LeaseEnd = l.grantLease(sent, d.config.Lease)
 	}
 	if l.answeredAt == 0 || l.failures > 0 {
@@ -338,6 +341,9 @@
 		d.inheritLease(l, state.Clock)
 	}
 	l.updateClock(state.Clock, sent, now.BootTime)
+	if sent >= l.doubtedAt {
+		l.doubtedAt = 0
+	}
 	if state.EndsTruncated && !l.endsTruncated {
 		d.config.Log.WithFields(logrus.Fields{"worker": l.entry.ID, "ends": len(state.Ended), "acked": l.acked}).
 			Warn("worker has more ends than it lists")
--- a/internal/process/drive/long_lease_test.go
+++ b/internal/process/drive/long_lease_test.go
@@ -200,6 +200,8 @@
 	armed   atomic.Bool
 	silent  bool
 	restart func()
+	// cutOff severs the worker.
+	cutOff func()
 	// answerTime is how long the owner does not notice that there is no answer.
 	answerTime time.Duration
 }
@@ -208,6 +210,7 @@
 // of which the list does not tell.
 func (c *restartCluster) useRestarting(silent bool) *restartingAgent {
 	agent := &restartingAgent{severedAgent: &severedAgent{Agent: c.agent, worker: "w0"}, silent: silent}
+	agent.cutOff = func() { agent.sever() }
 	agent.restart = func() {
 		c.listBorn("w0", c.born("w0"))
 		c.fleet.Restart("w0", 0, restartSize)
@@ -231,7 +234,7 @@
 	}
 	a.restart()
 	clock, err := a.Agent.Start(ctx, target, order)
-	a.sever()
+	a.cutOff()
 	if a.silent {
 		time.Sleep(a.answerTime)
 		<-ctx.Done()
@@ -242,16 +245,26 @@
 
 // Guards against tasks that run twice (TWICE): the next run has answered a start for the
 // former one, and the lease that it has from that start was counted on the former one's clock.
-var _ = It("a restarted worker that has answered nothing but a start for its former run counts as running until its lease has ended",
-	func() {
+var _ = DescribeTable("a restarted worker that has answered nothing but a start for its former run counts as running until its lease has ended",
+	func(clockBehind time.Duration, mute bool) {
 		c := newRestartCluster()
+		c.clockBehind.Store(int64(clockBehind))
 		c.runTime.Store(int64(2 * maxWorkerLease))
-		c.useRestarting(false).armed.Store(true)
+		agent := c.useRestarting(false)
+		if mute {
+			agent.cutOff = func() { c.fleet.Mute("w0", true) }
+		}
+		agent.armed.Store(true)
 		c.acceptTask("j", 1)
 		c.useAll()
-		Eventually(c.fleet.Starts, "15s", "10ms").Should(Equal(2))
+		Eventually(c.fleet.Starts, "15s", "1ms").Should(Equal(2))
 		Expect(c.fleet.Broken()).To(BeEmpty())
-	})
+	},
+	Entry("by a clock that is hours behind", time.Duration(0), false),
+	Entry("by a clock that is hours behind, while it takes calls without an answer", time.Duration(0), true),
+	Entry("by a clock that is less than a second behind, while it takes calls without an answer", 900*time.Millisecond, true),
+	Entry("by a clock that is ahead, while it takes calls without an answer", -lease/2, true),
+)
 
 // Guards against tasks that run twice (TWICE): the next run has carried out a start for the
 // former one without an answer, and no owner hears of that run.
--- a/internal/process/drive/orders.go
+++ b/internal/process/drive/orders.go
@@ -70,7 +70,7 @@
 func (d *Drive) prepareOrder(worker string) (delivery, bool) {
 	l := d.links[worker]
 	sent := d.config.BootTime()
-	if l == nil || l.answeredAt == 0 || !d.ownershipConfirmed(sent) {
+	if l == nil || l.answeredAt == 0 || l.doubtedAt > 0 || !d.ownershipConfirmed(sent) {
 		return delivery{}, false
 	}
 	return delivery{link: l, sent: sent, token: l.lineage.token}, true
@@ -92,11 +92,7 @@
 		d.noteUnanswered(l, order.attempt)
 	case err != nil:
 	case l.isOtherRun(clock, order.sent):
-		// The next renewal tells which one it is.
-		d.config.Log.WithFields(logrus.Fields{
-			"worker": l.entry.ID, "clock_ms": clock.Milliseconds(), "expected_ms": (l.clock + order.sent - l.answeredAt).Milliseconds(),
-		}).Info("order answered by another run")
-		d.extendFormerLease(l)
+		d.handleOtherClock(l, clock, order.sent)
 	default:
 		l.updateClock(clock, order.sent, d.config.BootTime())
 		d.core.HandleAnswer(l.entry.ID, clock)
@@ -207,7 +203,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.config.BootTime()
-	if d.ctx.Err() != nil || order.link.superseded || now-order.sent >= d.config.Lease/2 || !d.ownershipConfirmed(now) ||
+	if d.ctx.Err() != nil || order.link.superseded || order.link.doubtedAt > 0 || now-order.sent >= d.config.Lease/2 || !d.ownershipConfirmed(now) ||
 		!d.core.IsOrdered(action) {
 		return false
 	}
--- a/internal/process/drive/restart_test.go
+++ b/internal/process/drive/restart_test.go
@@ -55,14 +55,25 @@
 	listedElsewhere map[string]bool
 	// draining are the workers that the list says to be draining.
 	draining map[string]bool
+	// clockBehind is by how much the clock of the next life lies behind that of the first one,
+	// in nanoseconds, less than 0 for ahead; 0 for earlierClocks. Lives begin at bornAt.
+	clockBehind atomic.Int64
+	bornAt      time.Duration
 }
 
 // earlierClocks lets the clock of each life start before that of the one before it, so that
 // it carries out the calls for that one.
 func earlierClocks(life int) time.Duration { return time.Hour / time.Duration(life) }
 
+func (c *restartCluster) clockStart(life int) time.Duration {
+	if behind := time.Duration(c.clockBehind.Load()); behind != 0 {
+		return time.Hour + timer.Boot() - c.bornAt - behind
+	}
+	return earlierClocks(life)
+}
+
 func newRestartCluster() *restartCluster {
-	c := &restartCluster{ownedCluster: ownedCluster{cluster: newCluster(0)}, names: []string{"w0", "w1", "w2", "w3"}}
+	c := &restartCluster{ownedCluster: ownedCluster{cluster: newCluster(0)}, names: []string{"w0", "w1", "w2", "w3"}, bornAt: timer.Boot()}
 	c.listedBorn, c.listedElsewhere, c.draining = make(map[string]int64), make(map[string]bool), make(map[string]bool)
 	c.fleet = agent.New(agent.Config{
 		Now:     timer.Boot,
@@ -72,7 +83,7 @@
 		},
 		Crash:        crashPlan,
 		Incarnations: true, MaxLease: maxWorkerLease, ShrinkGrace: lease,
-		ClockStart: earlierClocks,
+		ClockStart: c.clockStart,
 	})
 	for _, name := range c.names {
 		c.fleet.Add(name, restartSize)
