--- a/internal/process/drive/link.go
+++ b/internal/process/drive/link.go
@@ -26,8 +26,9 @@
 	// only, and that entry is that of the former one.
 	unlisted bool
 	// journaled says that the journal lists the worker as used, so that the next
-	// owner assumes that tasks run there until the worker answers it.
-	journaled bool
+	// owner assumes that tasks run there until the worker answers it; unconfining that the
+	// record by which a confined worker takes tasks again is not stored yet.
+	journaled, unconfining bool
 	// releases counts the records by which the worker is no longer used.
 	releases int
 	// clock is the worker's clock in its last answer, and answeredAt the boot time
@@ -43,6 +44,9 @@
 	// grantedAt is the boot time at which this owner last sent a call that grants a lease; 0
 	// before the first one.
 	grantedAt time.Duration
+	// doubtedAt is the boot time at which another run has answered an order; 0 since the run
+	// of the link has answered a later renewal.
+	doubtedAt time.Duration
 	// unanswered are attempts with a start that had no answer, the last one at the boot time
 	// unansweredAt. Another run of the worker may carry out that start.
 	unanswered   []sched.PlacedAttempt
@@ -196,8 +200,9 @@
 	target := l.target()
 	order := cairnbay.AgentHold{Token: l.lineage.token, Wait: renewWait}
 	// A renewal after one without an answer may reach another run, which numbers its ends
-	// anew and must not drop any of them.
-	if !l.restartable() || l.listsEnds && l.failures == 0 {
+	// anew and must not drop any of them. Those of a worker of another shard are acknowledged
+	// by its owner there, once it has read them.
+	if !l.restartable() || l.listsEnds && l.failures == 0 && !l.unlisted {
 		order.Acked = l.acked
 	}
 	// A renewal without an answer may have extended the lease. Renewals of a silent worker
@@ -209,7 +214,7 @@
 	} else {
 		d.logUnconfirmed(sent)
 	}
-	if confirmed && (l.failures == 0 || sent-l.answeredAt <= maxRenewSilence && !d.leaving(l)) {
+	if confirmed && l.doubtedAt == 0 && (l.failures == 0 || sent-l.answeredAt <= maxRenewSilence && !d.leaving(l)) {
 		order.LeaseEnd = l.grantLease(sent, d.config.Lease)
 	}
 	if l.answeredAt == 0 || l.failures > 0 {
@@ -308,7 +313,7 @@
 	if !l.journaled {
 		return
 	}
-	l.journaled = false
+	l.journaled, l.unconfining = false, false
 	l.releases++
 	d.writer.Append([]*cairnbayv1.WorkRecord{{Released: l.entry.ID}}, d.logStoreFailure("worker release"))
 }
@@ -341,6 +346,9 @@
 		d.inheritLease(l, state.Clock)
 	}
 	l.updateClock(state.Clock, sent, now.BootTime)
+	if sent >= l.doubtedAt {
+		l.doubtedAt = 0
+	}
 	if state.EndsTruncated && !l.endsTruncated {
 		d.config.Log.WithFields(logrus.Fields{"worker": l.entry.ID, "ends": len(state.Ended), "acked": l.acked}).
 			Warn("worker has more ends than it lists")
@@ -351,7 +359,7 @@
 	}
 	// The lease of a reinstated run may have ended without a failed renewal.
 	l.failures, l.lapsed, l.usualLapsed, l.departed = 0, false, false, false
-	unjournaled := !l.journaled
+	unjournaled := !l.journaled || l.unconfining
 	if !unjournaled {
 		d.core.SetReachable(d.now(), l.entry.ID, true)
 	}
@@ -367,7 +375,7 @@
 	for _, id := range ended {
 		d.resolveInherited(id)
 	}
-	if l.worksElsewhere(now.BootTime, state, result) {
+	if d.worksElsewhere(l, now.BootTime, state, result) {
 		d.drop(l, "unlisted")
 	}
 	var used []*cairnbayv1.WorkRecord
@@ -376,6 +384,11 @@
 		used = append(used, d.workerRecord(l))
 	}
 	d.confine(l)
+	pause := time.Duration(0)
+	if l.unlisted && l.listsEnds {
+		// The worker answers at once while its ends are not acknowledged.
+		pause = renewRetryPause
+	}
 	d.mu.Unlock()
 	d.logEnds(l, result)
 	records := append(encodeRecords(result.Records), used...)
@@ -385,15 +398,16 @@
 		d.requestPlan()
 	}
 	if result.LastSequence <= l.lastAcked(d) && len(records) == 0 {
-		return 0
+		return pause
 	}
-	return d.acknowledge(l, records, result, len(used) > 0)
+	return max(pause, d.acknowledge(l, records, result, len(used) > 0))
 }
 
 // worksElsewhere says whether a run that is still not listed belongs to another class, or
-// shard: its answer tells of no task of this one.
-func (l *link) worksElsewhere(now time.Duration, state cairnbay.AgentState, result sched.HoldResult) bool {
-	return l.unlisted && now-l.openedAt > unlistedTimeout && len(state.Running) == 0 && !state.EndsTruncated &&
+// shard: its answer tells of no task of this one. The caller holds the lock.
+func (d *Drive) worksElsewhere(l *link, now time.Duration, state cairnbay.AgentState, result sched.HoldResult) bool {
+	return l.unlisted && now-l.openedAt > unlistedTimeout && !state.EndsTruncated &&
+		!slices.ContainsFunc(state.Running, func(running cairnbay.AgentTask) bool { return d.core.HasJob(running.Task.Job) }) &&
 		!slices.ContainsFunc(result.Ends, func(end sched.AttemptEnd) bool { return end.JobKnown })
 }
 
@@ -439,8 +453,8 @@
 			return
 		}
 		d.mu.Lock()
-		if used && !l.journaled && l.releases == releases {
-			l.journaled = true
+		if used && (!l.journaled || l.unconfining) && l.releases == releases {
+			l.journaled, l.unconfining = true, false
 			d.handleJournaled(l)
 		}
 		ends.stored = true
--- a/internal/process/drive/long_lease_test.go
+++ b/internal/process/drive/long_lease_test.go
@@ -176,6 +176,19 @@
 		c.listBorn("w0", 0)
 		listElsewhere(c)
 	}),
+	// Guards against a mark that was not journaled: the worker was about to be used again.
+	Entry("under its owner after a restart, which reads an older list, though it drained before", func(c *restartCluster) {
+		c.drain("w0", true)
+		time.Sleep(renewals) // The renewal that is under way is answered.
+		c.drain("w0", false)
+		listFormer(c)
+	}, func(c *restartCluster) {
+		former := c.listedBorn["w0"]
+		c.listBorn("w0", 0)
+		time.Sleep(restartPause)
+		c.listBorn("w0", former)
+		c.restartOwner()
+	}),
 )
 
 // Guards against tasks that run twice (TWICE): a worker that had answered the next owner, with
@@ -215,6 +228,8 @@
 	armed   atomic.Bool
 	silent  bool
 	restart func()
+	// mute, if it is set, leaves the worker connected and withholds its answers after that start.
+	mute func()
 	// answerTime is how long the owner does not notice that there is no answer.
 	answerTime time.Duration
 }
@@ -244,9 +259,14 @@
 	if !a.armed.Swap(false) {
 		return a.severedAgent.Start(ctx, target, order)
 	}
-	a.sever()
+	if a.mute == nil {
+		a.sever()
+	}
 	a.restart()
 	clock, err := a.Agent.Start(ctx, target, order)
+	if a.mute != nil {
+		a.mute()
+	}
 	if a.silent {
 		time.Sleep(a.answerTime)
 		<-ctx.Done()
@@ -257,16 +277,26 @@
 
 // Guards against tasks that run twice (TWICE): the next run has answered a start for the
 // former one, and the lease that it has from that start was counted on the former one's clock.
-var _ = It("a restarted worker that has answered nothing but a start for its former run counts as running until its lease has ended",
-	func() {
+var _ = DescribeTable("a restarted worker that has answered nothing but a start for its former run counts as running until its lease has ended",
+	func(clockBehind time.Duration, mute bool) {
 		c := newRestartCluster()
+		c.clockBehind.Store(int64(clockBehind))
 		c.runTime.Store(int64(2 * maxWorkerLease))
-		c.useRestarting(false).armed.Store(true)
+		agent := c.useRestarting(false)
+		if mute {
+			agent.mute = func() { c.fleet.Mute("w0", true) }
+		}
+		agent.armed.Store(true)
 		c.acceptTask("j", 1)
 		c.useAll()
-		Eventually(c.fleet.Starts, "15s", "10ms").Should(Equal(2))
+		Eventually(c.fleet.Starts, "15s", "1ms").Should(Equal(2))
 		Expect(c.fleet.Broken()).To(BeEmpty())
-	})
+	},
+	Entry("by a clock that is hours behind", time.Duration(0), false),
+	Entry("by a clock that is hours behind, while it takes calls without an answer", time.Duration(0), true),
+	Entry("by a clock that is less than a second behind, while it takes calls without an answer", 900*time.Millisecond, true),
+	Entry("by a clock that is ahead, while it takes calls without an answer", -lease/2, true),
+)
 
 // Guards against tasks that run twice (TWICE): the next run has carried out a start for the
 // former one without an answer, and no owner hears of that run.
--- a/internal/process/drive/restart_test.go
+++ b/internal/process/drive/restart_test.go
@@ -56,15 +56,29 @@
 	listedBorn      map[string]int64
 	listedAt        map[string]string
 	listedElsewhere map[string]bool
+	// draining are the workers that the list says to be draining.
+	draining map[string]bool
+	// clockBehind is by how much the clock of the next life lies behind that of the first one,
+	// in nanoseconds, less than 0 for ahead; 0 for earlierClocks. Lives begin at bornAt.
+	clockBehind atomic.Int64
+	bornAt      time.Duration
 }
 
 // earlierClocks lets the clock of each life start before that of the one before it, so that
 // it carries out the calls for that one.
 func earlierClocks(life int) time.Duration { return time.Hour / time.Duration(life) }
 
+func (c *restartCluster) clockStart(life int) time.Duration {
+	if behind := time.Duration(c.clockBehind.Load()); behind != 0 {
+		return time.Hour + timer.Boot() - c.bornAt - behind
+	}
+	return earlierClocks(life)
+}
+
 func newRestartCluster() *restartCluster {
-	c := &restartCluster{ownedCluster: ownedCluster{cluster: newCluster(0)}, names: []string{"w0", "w1", "w2", "w3"}}
-	c.listedBorn, c.listedElsewhere, c.listedAt = make(map[string]int64), make(map[string]bool), make(map[string]string)
+	c := &restartCluster{ownedCluster: ownedCluster{cluster: newCluster(0)}, names: []string{"w0", "w1", "w2", "w3"}, bornAt: timer.Boot()}
+	c.listedBorn, c.listedAt = make(map[string]int64), make(map[string]string)
+	c.listedElsewhere, c.draining = make(map[string]bool), make(map[string]bool)
 	c.fleet = agent.New(agent.Config{
 		Now:     timer.Boot,
 		RunTime: func(cairnbay.WorkflowTask) time.Duration { return time.Duration(c.runTime.Load()) },
@@ -73,7 +87,7 @@
 		},
 		Crash:        crashPlan,
 		Incarnations: true, MaxLease: maxWorkerLease, ShrinkGrace: lease,
-		ClockStart: earlierClocks,
+		ClockStart: c.clockStart,
 	})
 	for _, name := range c.names {
 		c.fleet.Add(name, restartSize)
@@ -132,6 +146,7 @@
 	address := c.address(cmp.Or(c.listedAt[life.Address], life.Address))
 	entry, err := platform.DecodeWorker(platform.WorkerPrefix+life.Address, stand.Entry(class, address, "z", "r", life.Capacity, born))
 	Expect(err).NotTo(HaveOccurred())
+	entry.Draining = c.draining[life.Address]
 	return entry
 }
 
@@ -166,6 +181,14 @@
 	c.listedElsewhere[name] = true
 }
 
+// drain lists a worker as draining or no longer so, and waits until the owner knows.
+func (c *restartCluster) drain(name string, draining bool) {
+	c.mu.Lock()
+	c.draining[name] = draining
+	c.mu.Unlock()
+	time.Sleep(restartPause)
+}
+
 // born is the start of a worker's process.
 func (c *restartCluster) born(name string) int64 {
 	lives := c.fleet.Lives()
