drive: the lease of a worker that has refused the token does not end by this owner's count

Callers saw (by reading; the spec shows it): two runs of a task at the same time (TWICE) under an owner that has been replaced, while the store is away.

A worker that has refused the token may be under a newer owner, whose renewals extend its lease, while a majority of the workers still accepts this one.

Change: the lease does not end in that wait for a worker that has refused the token; its tasks wait for the store, as before. drop and dropRun move to lineage.go.

--- a/internal/process/drive/lineage.go
+++ b/internal/process/drive/lineage.go
@@ -299,6 +299,21 @@
 	}
 }
 
+// drop removes a worker and its link; the caller holds the lock.
+func (d *Drive) drop(l *link, reason string) {
+	d.dropRun(l, reason)
+	d.dropLineage(l)
+}
+
+// dropRun removes the current run of a worker and its link; the caller holds the lock.
+func (d *Drive) dropRun(l *link, reason string) {
+	l.dropped, l.lineage.current = true, nil
+	delete(d.links, l.entry.ID)
+	delete(d.refusals, l.entry.ID)
+	d.handleWorkerLoss(l.entry.ID, reason, l.lossCause())
+	d.journalRelease(l)
+}
+
 // dropLineage forgets a worker of which no run is reached any more; the caller holds the
 // lock.
 func (d *Drive) dropLineage(l *link) {
--- a/internal/process/drive/link.go
+++ b/internal/process/drive/link.go
@@ -192,7 +192,10 @@
 		return 0, false
 	}
 	if !d.raiseToken(l) {
-		d.expireFormer(l.lineage)
+		// A newer owner may have extended the leases of a worker that has refused the token.
+		if _, refused := d.refusals[l.entry.ID]; !refused {
+			d.expireFormer(l.lineage)
+		}
 		d.mu.Unlock()
 		return tokenRetryPause, true
 	}
@@ -291,21 +294,6 @@
 	return renewRetryPause, true
 }
 
-// drop removes a worker and its link; the caller holds the lock.
-func (d *Drive) drop(l *link, reason string) {
-	d.dropRun(l, reason)
-	d.dropLineage(l)
-}
-
-// dropRun removes the current run of a worker and its link; the caller holds the lock.
-func (d *Drive) dropRun(l *link, reason string) {
-	l.dropped, l.lineage.current = true, nil
-	delete(d.links, l.entry.ID)
-	delete(d.refusals, l.entry.ID)
-	d.handleWorkerLoss(l.entry.ID, reason, l.lossCause())
-	d.journalRelease(l)
-}
-
 // journalRelease records that nothing runs on a worker, so that the next owner
 // does not wait for it. The worker is journaled again before it gets tasks again.
 // The caller holds the lock.
--- a/internal/process/drive/relisted_test.go
+++ b/internal/process/drive/relisted_test.go
@@ -355,3 +355,37 @@
 	severed.reconnect()
 	Eventually(func() any { return c.fleet.Running("w0") }, "2s", "10ms").Should(BeEmpty())
 })
+
+// Guards against tasks that run twice (TWICE): the lease of a run that has refused the token of
+// this owner counted as ended, though a newer owner had extended it.
+var _ = It("a restarted worker that has refused the token keeps its tasks while the store is away", func() {
+	c := newRestartCluster()
+	c.runTime.Store(int64(4 * maxWorkerLease))
+	severed := &severedAgent{Agent: c.agent, worker: "w0"}
+	c.agent = severed
+	c.replaceOwner()
+	c.useOnly("w0")
+	c.acceptTask("j", 1)
+	time.Sleep(restartPause)
+	late := severed.sever()
+	c.store.SetDown(true)
+	c.fleet.Restart("w0", 0, restartSize)
+	c.fleet.StartLate(timer.Boot(), cairnbay.AgentTarget{Worker: "w0"}, late)
+	Expect(c.fleet.Running("w0")).To(HaveLen(1))
+	renewByNewerOwner := func() {
+		target := cairnbay.AgentTarget{Worker: "w0"}
+		state, err := c.fleet.Hold(context.Background(), target, cairnbay.AgentHold{Token: math.MaxInt64})
+		Expect(err).NotTo(HaveOccurred())
+		_, err = c.fleet.Hold(context.Background(), target, cairnbay.AgentHold{Token: math.MaxInt64, LeaseEnd: state.Clock + maxWorkerLease})
+		Expect(err).NotTo(HaveOccurred())
+	}
+	renewByNewerOwner()
+	severed.reconnect()
+	c.useAll()
+	for range 4 {
+		time.Sleep(maxWorkerLease / 2)
+		renewByNewerOwner()
+	}
+	Expect(c.fleet.Broken()).To(BeEmpty())
+	Expect(c.fleet.Running("w0")).To(HaveLen(1))
+})
