--- a/internal/fake/suite/suite.go
+++ b/internal/fake/suite/suite.go
@@ -11,7 +11,7 @@
 
 const (
 	// Timing is the label of specs that fail on a machine too busy for the code to keep
-	// their bounds of time.
+	// their bounds of time, and of those that measure the memory of processes.
 	Timing = "timing"
 	// timingVariable selects specs by Timing: without it all run.
 	timingVariable = "CAIRNBAY_TIMING"
