--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -6,7 +6,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -18,6 +17,7 @@
 
 	"cairnbay"
 	cairnbayv1 "cairnbay/gen/cairnbay/v1"
+	"cairnbay/internal/conn/listen"
 	"cairnbay/internal/process/allot"
 	"cairnbay/internal/process/detour"
 	"cairnbay/internal/process/drive"
@@ -60,6 +60,8 @@
 	// Cores and LinkMbps are the processors and the bandwidth, in megabits per
 	// second, that the instance may use.
 	Cores, LinkMbps float64
+	// Machine bounds what clients can make the instance hold.
+	Machine listen.Machine
 	// Grace is the time from the stop signal until the process is killed.
 	Grace time.Duration
 	// Lease is the duration of a worker's lease from each renewal.
@@ -113,7 +115,7 @@
 	probing atomic.Bool
 	// stopping is set when Stop is called.
 	stopping atomic.Bool
-	servers  []*http.Server
+	servers  []*listen.Server
 	// stopProbes cancels the timer of the probes.
 	stopProbes func()
 	background sync.WaitGroup
@@ -137,10 +139,6 @@
 }
 
 const (
-	// headerTimeout limits how long a client may take to send a request's header.
-	headerTimeout = 5 * time.Second
-	// idleTimeout is how long an unused client connection stays open.
-	idleTimeout = 60 * time.Second
 	// flushTimeout limits one attempt to write the journals of all owned classes
 	// during a stop, and separately the revocation of the store lease.
 	flushTimeout = 600 * time.Millisecond
@@ -206,15 +204,16 @@
 	stopChecks := config.Clock.Every(reachPeriod, func(time.Duration) { n.checkIsolation() })
 	n.stopProbes = func() { stopProbes(); stopChecks() }
 	for _, listener := range []struct {
-		address string
-		handler http.Handler
+		name, address string
+		limits        listen.Limits
+		handler       http.Handler
 	}{
-		{config.MemberAddress, n.relay.Handler()},
-		{config.CallerAddress, n.closeConnections(n.gate)},
-		{config.ReadyAddress, readyMux},
-		{config.MetricsAddress, metricsMux},
+		{"members", config.MemberAddress, config.Machine.Share(limits, memberMemory, memberSockets, leastMemberMemory), n.relay.Handler()},
+		{"callers", config.CallerAddress, callerLimits(config.Machine), n.closeConnections(n.gate)},
+		{"readiness", config.ReadyAddress, config.Machine.Share(limits, checkMemory, checkSockets, leastCheckMemory), readyMux},
+		{"metrics", config.MetricsAddress, config.Machine.Share(limits, checkMemory, checkSockets, leastCheckMemory), metricsMux},
 	} {
-		if err := n.listen(listener.address, listener.handler); err != nil {
+		if err := n.listen(listener.name, listener.address, listener.limits, listener.handler); err != nil {
 			return nil, err
 		}
 	}
@@ -225,15 +224,16 @@
 	return n, nil
 }
 
-func (n *Node) listen(address string, handler http.Handler) error {
-	listener, err := net.Listen("tcp", address)
+func (n *Node) listen(name, address string, limits listen.Limits, handler http.Handler) error {
+	server, err := listen.New(listen.Config{
+		Name: name, Address: address, Limits: limits, Clock: n.config.Clock, Log: n.config.Log, Metrics: n.config.Metrics,
+	})
 	if err != nil {
 		return errors.Annotatef(err, "listen on %s", address)
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	n.servers = append(n.servers, server)
 	n.background.Go(func() {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(handler); err != nil {
 			n.config.Log.WithError(err).WithField("address", address).Error("listener ended unexpectedly")
 		}
 	})
--- a/internal/request/gate/gate.go
+++ b/internal/request/gate/gate.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"slices"
@@ -150,6 +151,11 @@
 const (
 	// maxBodyBytes is the size limit of a submission's body.
 	maxBodyBytes = 256 << 10
+	// overloadRetryAfter is the Retry-After of a submission that has no room in memory. A
+	// request takes less.
+	overloadRetryAfter = time.Second
+	// maxTimeout limits a caller's deadline.
+	maxTimeout = time.Minute
 	// defaultTimeout applies to requests without a valid deadline header.
 	defaultTimeout = 3 * time.Second
 	// responseMargin is subtracted from the caller's deadline, so that the
@@ -287,13 +293,13 @@
 }
 
 // requestTimeout returns the lower of the caller's deadline (defaultTimeout without
-// a valid one) and the queue's timeout, less responseMargin, but at least
+// a valid one, at most maxTimeout) and the queue's timeout, less responseMargin, but at least
 // responseMargin.
 func (g *Gate) requestTimeout(request *http.Request, queue cairnbay.Queue) time.Duration {
 	timeout := defaultTimeout
 	if value := request.Header.Get(g.config.Format.DeadlineHeader); value != "" {
 		if ms, err := strconv.ParseFloat(value, 64); err == nil && ms > 0 {
-			timeout = time.Duration(ms * float64(time.Millisecond))
+			timeout = time.Duration(min(ms, float64(maxTimeout.Milliseconds())) * float64(time.Millisecond))
 		}
 	}
 	if queue.Timeout > 0 {
@@ -367,12 +373,36 @@
 	http.Error(writer, reason, http.StatusServiceUnavailable)
 }
 
+// reject responds to a submission whose body was not read or not decoded; it had no effect.
+// Such responses are counted and not logged one by one, since a crowd of clients may cause
+// thousands a second. The connection closes, as the rest of the body may follow.
+func (g *Gate) reject(writer http.ResponseWriter, callerReq *callerRequest, err error) {
+	status, reason := http.StatusBadRequest, "body cannot be read"
+	switch {
+	case errors.Is(err, cairnbay.ErrOverloaded):
+		status, reason = http.StatusServiceUnavailable, "overloaded"
+		writer.Header().Set("Retry-After", strconv.Itoa(int(overloadRetryAfter/time.Second)))
+	case errors.Is(err, cairnbay.ErrTooLarge):
+		status, reason = http.StatusRequestEntityTooLarge, fmt.Sprintf("body is over %d bytes", maxBodyBytes)
+	case errors.Is(err, cairnbay.ErrDeadline):
+		status, reason = http.StatusRequestTimeout, "body not received in time"
+	}
+	g.observe(callerReq, status)
+	writer.Header().Set("Connection", "close")
+	http.Error(writer, reason, status)
+}
+
+// observe records the duration of a request by its status.
+func (g *Gate) observe(callerReq *callerRequest, status int) {
+	g.config.Metrics.GetOrCreateHistogram(fmt.Sprintf("cairnbay_request_seconds{status=%q}", strconv.Itoa(status))).
+		UpdateDuration(callerReq.startedAt)
+}
+
 // recordOutcome logs the outcome of a request and records its duration. Requests
 // answered with status 401, 404, 405 or 500, or 400 because of their form, are not recorded;
 // refusalLog counts those with 401.
 func (g *Gate) recordOutcome(callerReq *callerRequest, status int, outcome string) {
-	g.config.Metrics.GetOrCreateHistogram(fmt.Sprintf("cairnbay_request_seconds{status=%q}", strconv.Itoa(status))).
-		UpdateDuration(callerReq.startedAt)
+	g.observe(callerReq, status)
 	fields := logrus.Fields{
 		"job": callerReq.id, "queue": callerReq.queue.Name, "status": status, "outcome": outcome,
 		"took_ms": time.Since(callerReq.startedAt).Milliseconds(),
--- a/internal/request/gate/submit.go
+++ b/internal/request/gate/submit.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"time"
@@ -14,17 +13,18 @@
 
 	"cairnbay"
 	cairnbayv1 "cairnbay/gen/cairnbay/v1"
+	"cairnbay/internal/conn/listen"
 	"cairnbay/internal/process/drive"
 	"cairnbay/internal/process/tenure"
 )
 
 // submit submits a workflow. It responds with 200 if the owner accepted the job,
-// 504 if that is not known, 503 if no owner can have accepted it, 400 if the body is
-// invalid, 409 if the ID is that of another workspace's job.
+// 504 if that is not known, 503 if no owner can have accepted it, 400, 408 or 413 if the body is
+// invalid, late or too large, 409 if the ID is that of another workspace's job.
 func (g *Gate) submit(ctx context.Context, writer http.ResponseWriter, request *http.Request, callerReq *callerRequest) {
-	body, err := io.ReadAll(http.MaxBytesReader(writer, request.Body, maxBodyBytes))
+	body, err := g.readBody(ctx, writer, request)
 	if err != nil {
-		http.Error(writer, "body cannot be read", http.StatusBadRequest)
+		g.reject(writer, callerReq, err)
 		return
 	}
 	workflow, err := g.config.Format.DecodeWorkflow(callerReq.id, body)
@@ -66,6 +66,16 @@
 	}
 }
 
+// readBody reads the body of a submission until the caller's deadline. Errors: those of
+// listen.ReadBody.
+func (g *Gate) readBody(ctx context.Context, writer http.ResponseWriter, request *http.Request) ([]byte, error) {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		deadline = time.Now().Add(defaultTimeout)
+	}
+	return listen.ReadBody(writer, request, maxBodyBytes, deadline)
+}
+
 var (
 	// errNoOwner says that no owner is known, or that the called instance does not
 	// own the shard. The call had no effect.
--- a/internal/tool/serve/node.go
+++ b/internal/tool/serve/node.go
@@ -8,7 +8,6 @@
 	"os"
 	"os/signal"
 	"runtime"
-	"runtime/debug"
 	"strconv"
 	"syscall"
 	"time"
@@ -49,8 +48,6 @@
 	idleLife = 30 * time.Second
 	// logLines bounds the log lines that wait to be written.
 	logLines = 8192
-	// memoryShare of the instance's memory is what the collector aims at.
-	memoryShare = 0.7
 	// admitShare and holdShare of the instance's memory are for the jobs of each shard that
 	// it owns: up to the first jobs are admitted, up to the second those of former owners
 	// are taken over. An instance may own several shards.
@@ -115,7 +112,7 @@
 
 func runNode(ctx context.Context, path string, settings platform.Settings, streams shell.Streams, lowest logrus.Level, uses sched.LearnUses) error {
 	runtime.GOMAXPROCS(1)
-	debug.SetMemoryLimit(int64(float64(settings.MemoryMB<<20) * memoryShare))
+	available := machine(settings.MemoryMB << 20)
 	lines := logq.New(logq.Config{Out: streams.Out, MaxLines: logLines})
 	defer lines.Close()
 	logger := logrus.New()
@@ -132,7 +129,7 @@
 		CallerAddress: settings.CallerAddress, ReadyAddress: settings.ReadyAddress,
 		MemberAddress:  net.JoinHostPort(settings.IP, strconv.Itoa(settings.MemberPort)),
 		MetricsAddress: net.JoinHostPort(settings.IP, strconv.Itoa(settings.MetricsPort)),
-		Cores:          settings.Cores, LinkMbps: settings.LinkMbps, Grace: settings.Grace,
+		Cores:          settings.Cores, LinkMbps: settings.LinkMbps, Machine: available, Grace: settings.Grace,
 		Lease: min(workerLease, settings.MaxLease), MaxLease: settings.MaxLease, StoreLease: max(storeLease, settings.StoreMinLease),
 		WatchStallTimeout: watchStall, WatchHold: watchWait,
 		Sched: sched.Config{
