--- a/internal/process/relay/relay.go
+++ b/internal/process/relay/relay.go
@@ -14,6 +14,7 @@
 	"cairnbay"
 	cairnbayv1 "cairnbay/gen/cairnbay/v1"
 	"cairnbay/gen/cairnbay/v1/cairnbayv1connect"
+	"cairnbay/internal/conn/listen"
 	"cairnbay/internal/process/drive"
 )
 
@@ -69,10 +70,23 @@
 	return client
 }
 
+const (
+	// stepBytes is the memory of a step of a submitted workflow while it is decoded.
+	stepBytes = 1 << 10
+	// reasonOverloaded is the reason of a submission that has no room in memory.
+	reasonOverloaded   = "request_memory"
+	overloadRetryAfter = time.Second
+)
+
 // Submit implements the Relay service.
 func (r *Relay) Submit(
 	ctx context.Context, request *connect.Request[cairnbayv1.SubmitWorkflowRequest],
 ) (*connect.Response[cairnbayv1.SubmitWorkflowResponse], error) {
+	if listen.Reserve(ctx, int64(len(request.Msg.GetWorkflow().GetSteps()))*stepBytes) != nil {
+		return connect.NewResponse(&cairnbayv1.SubmitWorkflowResponse{
+			Verdict: cairnbayv1.SubmitVerdict_SUBMIT_VERDICT_REFUSED, Reason: reasonOverloaded, RetryAfterMs: overloadRetryAfter.Milliseconds(),
+		}), nil
+	}
 	submission := drive.Submission{
 		Workflow: drive.DecodeWorkflow(request.Msg.GetWorkflow()), RoutingVersion: request.Msg.GetRoutingVersion(),
 	}
--- a/internal/process/sched/footprint.go
+++ b/internal/process/sched/footprint.go
@@ -19,6 +19,9 @@
 // not depend on the instance, so that any next owner can hold the job.
 const MaxJobFootprint = 16 << 20
 
+// MaxSteps is more than the number of steps of any job that an owner accepts.
+const MaxSteps = MaxJobFootprint / (stepFootprint + taskFootprint)
+
 // Footprint estimates the memory that an owner needs for all occurrences of a workflow, in
 // bytes; math.MaxInt64 for more than that.
 func Footprint(workflow *cairnbay.Workflow) int64 {
--- a/internal/request/gate/gate.go
+++ b/internal/request/gate/gate.go
@@ -33,6 +33,8 @@
 	DeadlineHeader string
 	// DecodeWorkflow parses the body of a submission.
 	DecodeWorkflow func(id string, body []byte) (cairnbay.Workflow, error)
+	// CountObjects returns an upper bound on the steps of a submission without decoding it.
+	CountObjects func(body []byte) int
 	// EncodeState and EncodeQueueLength encode the JSON bodies of responses.
 	EncodeState       func(state cairnbay.WorkflowState) ([]byte, error)
 	EncodeQueueLength func(count int) ([]byte, error)
@@ -151,6 +153,9 @@
 const (
 	// maxBodyBytes is the size limit of a submission's body.
 	maxBodyBytes = 256 << 10
+	// stepBytes is the memory of a decoded step with its message to the owner, bodyWeight that
+	// of a byte of the body besides.
+	stepBytes, bodyWeight = 2 << 10, 4
 	// overloadRetryAfter is the Retry-After of a submission that has no room in memory. A
 	// request takes less.
 	overloadRetryAfter = time.Second
--- a/internal/request/gate/gate_test.go
+++ b/internal/request/gate/gate_test.go
@@ -27,8 +27,10 @@
 	"cairnbay/internal/process/drive"
 	"cairnbay/internal/process/layout"
 	"cairnbay/internal/process/relay"
+	"cairnbay/internal/process/sched"
 	"cairnbay/internal/process/tenure"
 	"cairnbay/internal/request/gate"
+	"cairnbay/platform"
 )
 
 func TestGate(t *testing.T) {
@@ -194,6 +196,7 @@
 		handler = gate.New(gate.Config{
 			Format: gate.Format{
 				DeadlineHeader: "Deadline-Ms",
+				CountObjects:   platform.CountObjects,
 				DecodeWorkflow: func(id string, body []byte) (cairnbay.Workflow, error) {
 					if string(body) == "bad" {
 						return cairnbay.Workflow{}, cairnbay.ErrInvalid
@@ -356,6 +359,14 @@
 		Expect(handler.FailingFor()).To(BeZero())
 	})
 
+	It("refuses a submission that is too large, or has too many steps, before it is decoded", func() {
+		Expect(send(http.MethodPost, "/j", strings.Repeat(" ", 256<<10)).Code).To(Equal(http.StatusOK))
+		Expect(send(http.MethodPost, "/j", strings.Repeat(" ", 256<<10+1)).Code).To(Equal(http.StatusRequestEntityTooLarge))
+		response := send(http.MethodPost, "/j", strings.Repeat("{}", 20_000))
+		Expect(response.Code).To(Equal(http.StatusBadRequest))
+		Expect(response.Body.String()).To(ContainSubstring(sched.ReasonJobTooLarge))
+	})
+
 	It("responds with 400 to a submission that cannot be decoded", func() {
 		Expect(send(http.MethodPost, "/j", "bad").Code).To(Equal(http.StatusBadRequest))
 	})
--- a/internal/request/gate/keys_test.go
+++ b/internal/request/gate/keys_test.go
@@ -76,6 +76,7 @@
 		handler = gate.New(gate.Config{
 			Format: gate.Format{
 				DeadlineHeader: "Deadline-Ms",
+				CountObjects:   func([]byte) int { return 1 },
 				DecodeWorkflow: func(id string, _ []byte) (cairnbay.Workflow, error) {
 					return cairnbay.Workflow{ID: id, Workspace: "forged", Steps: []cairnbay.WorkflowStep{{Tasks: 1}}}, nil
 				},
--- a/internal/request/gate/local_test.go
+++ b/internal/request/gate/local_test.go
@@ -110,6 +110,7 @@
 	return gate.New(gate.Config{
 		Format: gate.Format{
 			DeadlineHeader: "Deadline-Ms",
+			CountObjects:   func([]byte) int { return 1 },
 			DecodeWorkflow: func(id string, _ []byte) (cairnbay.Workflow, error) { return workflow(id), nil },
 			EncodeState:    func(state cairnbay.WorkflowState) ([]byte, error) { return []byte(state.String()), nil },
 			EncodeQueueLength: func(count int) ([]byte, error) {
--- a/internal/request/gate/submit.go
+++ b/internal/request/gate/submit.go
@@ -15,6 +15,7 @@
 	cairnbayv1 "cairnbay/gen/cairnbay/v1"
 	"cairnbay/internal/conn/listen"
 	"cairnbay/internal/process/drive"
+	"cairnbay/internal/process/sched"
 	"cairnbay/internal/process/tenure"
 )
 
@@ -27,6 +28,16 @@
 		g.reject(writer, callerReq, err)
 		return
 	}
+	steps := g.config.Format.CountObjects(body) - 1
+	if steps > sched.MaxSteps {
+		g.recordOutcome(callerReq, http.StatusBadRequest, sched.ReasonJobTooLarge)
+		http.Error(writer, fmt.Sprintf("%s: %d steps", sched.ReasonJobTooLarge, steps), http.StatusBadRequest)
+		return
+	}
+	if err := listen.Reserve(request.Context(), int64(steps)*stepBytes+int64(len(body))*bodyWeight); err != nil {
+		g.reject(writer, callerReq, err)
+		return
+	}
 	workflow, err := g.config.Format.DecodeWorkflow(callerReq.id, body)
 	if err != nil {
 		g.config.Log.WithError(err).WithField("job", callerReq.id).Info("submission cannot be decoded")
--- a/internal/tool/serve/node.go
+++ b/internal/tool/serve/node.go
@@ -177,7 +177,7 @@
 		}),
 		Agent: platform.NewAgent(newDialer(), idleLife),
 		Format: gate.Format{
-			DeadlineHeader: platform.DeadlineHeader, DecodeWorkflow: platform.DecodeWorkflow,
+			DeadlineHeader: platform.DeadlineHeader, DecodeWorkflow: platform.DecodeWorkflow, CountObjects: platform.CountObjects,
 			EncodeState: platform.EncodeState, EncodeQueueLength: platform.EncodeQueueLength,
 		},
 		RoutingPrefix: platform.OperatorPrefix, RoutingKey: platform.RoutingKey, WorkerPrefix: platform.WorkerPrefix,
