--- a/internal/conn/listen/request.go
+++ b/internal/conn/listen/request.go
@@ -47,12 +47,22 @@
 			r.limitBody(time.Now().Add(a.limits.BodyTimeout))
 		}
 	}
-	if !a.openRequest(&r.holding, &c.holding, headerMemory(httpRequest), !hasBody) {
+	if !a.openRequest(&r.holding, &c.holding, headerMemory(httpRequest), !hasBody) && hasBody {
 		a.abandon(&r.holding)
+		r.evict()
 	}
 	return r
 }
 
+// setBodyDeadline limits the reads of the body, unless an eviction has ended them.
+func (r *request) setBodyDeadline(deadline time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.account.isEvicted(&r.holding) {
+		r.limitBody(deadline)
+	}
+}
+
 // evict ends the read of the body, so that the handler responds.
 func (r *request) evict() {
 	r.mu.Lock()
@@ -150,7 +160,8 @@
 // firstBufferBytes is the first size of a buffer for a body.
 const firstBufferBytes = 4 << 10
 
-// ReadBody reads the body of a request until the deadline. The buffer grows with the bytes
+// ReadBody reads the body of a request until the deadline, which holds for requests of a
+// Server. The buffer grows with the bytes
 // that arrive, so a length that is only claimed takes no memory. Errors: ErrTooLarge for a
 // body over limit bytes, ErrDeadline, ErrOverloaded, ErrInvalid for a body that ends early or
 // is malformed.
@@ -161,8 +172,9 @@
 	if httpRequest.ContentLength > limit {
 		return nil, cairnbay.ErrTooLarge
 	}
-	// The limit of the server holds where this one cannot be set.
-	_ = http.NewResponseController(writer).SetReadDeadline(deadline)
+	if received, ok := httpRequest.Body.(*body); ok {
+		received.request.setBodyDeadline(deadline)
+	}
 	reader := http.MaxBytesReader(writer, httpRequest.Body, limit)
 	content := make([]byte, 0, firstBufferBytes)
 	// One byte more than expected tells the end of the body.
