--- a/internal/conn/listen/account.go
+++ b/internal/conn/listen/account.go
@@ -31,6 +31,8 @@
 // holding is the memory that a connection or a request takes.
 type holding struct {
 	bytes, work int64
+	// base is the part of bytes that a connection takes without a request.
+	base int64
 	// since is when it began to wait for bytes of the client.
 	since time.Duration
 	// serving counts the requests in progress that need no more bytes of the client. Such a
@@ -64,7 +66,7 @@
 		case float64(len(a.connections)) >= float64(a.limits.Connections)*(1+releaseSlack):
 			return releasing, victims
 		}
-		h.since = a.clock.Now()
+		h.since, h.base = a.clock.Now(), connectionBytes
 		a.connections[h] = struct{}{}
 		verdict, more := a.grow(h, connectionBytes)
 		if verdict != granted {
@@ -160,7 +162,7 @@
 	if connection.closed {
 		return
 	}
-	excess := connection.bytes - connectionBytes
+	excess := connection.bytes - connection.base
 	connection.bytes -= excess
 	a.bytes -= excess
 	if connection.evicted {
@@ -168,6 +170,13 @@
 	}
 }
 
+// multiplex raises the base of a connection that carries many requests at once.
+func (a *account) multiplex(connection *holding) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	connection.base = multiplexedBytes
+}
+
 // restart begins the time of a connection anew, as its client has begun a request.
 func (a *account) restart(connection *holding) {
 	a.mu.Lock()
--- a/internal/conn/listen/limits.go
+++ b/internal/conn/listen/limits.go
@@ -33,6 +33,9 @@
 	// connectionBytes is the memory of a connection without a request: buffers, goroutines
 	// and state of the server.
 	connectionBytes = 24 << 10
+	// multiplexedBytes is that of a connection with HTTP/2, whose requests share a receive
+	// buffer.
+	multiplexedBytes = connectionBytes + maxConnReceiveBytes
 	// headerWeight is the memory that a byte of a header may take once it is parsed. Short
 	// lines take the most.
 	headerWeight = 24
--- a/internal/conn/listen/request.go
+++ b/internal/conn/listen/request.go
@@ -34,8 +34,8 @@
 // begin accounts for a request whose header has arrived.
 func (a *account) begin(c *conn, writer http.ResponseWriter, httpRequest *http.Request) *request {
 	c.countsHeader.Store(false)
-	if httpRequest.ProtoMajor > 1 {
-		c.http2.Store(true)
+	if httpRequest.ProtoMajor > 1 && c.http2.CompareAndSwap(false, true) {
+		a.multiplex(&c.holding)
 	}
 	r := &request{account: a, conn: c, controller: http.NewResponseController(writer)}
 	r.holding.evict = r.evict
--- a/internal/conn/listen/server.go
+++ b/internal/conn/listen/server.go
@@ -42,11 +42,12 @@
 	http     *http.Server
 }
 
-// Limits of HTTP/2. The memory of connectionBytes covers them.
+// Limits of a connection with HTTP/2: requests at once, and received bytes of one of them and
+// of all that handlers have not read.
 const (
-	maxStreams          = 100
-	maxStreamReceive    = 64 << 10
-	maxConnReceiveBytes = 256 << 10
+	maxStreams            = 100
+	maxStreamReceiveBytes = 64 << 10
+	maxConnReceiveBytes   = 256 << 10
 )
 
 // New opens the listener. Errors: those of net.Listen.
@@ -78,7 +79,7 @@
 			}
 		},
 		HTTP2: &http.HTTP2Config{
-			MaxConcurrentStreams: maxStreams, MaxReceiveBufferPerConnection: maxConnReceiveBytes, MaxReceiveBufferPerStream: maxStreamReceive,
+			MaxConcurrentStreams: maxStreams, MaxReceiveBufferPerConnection: maxConnReceiveBytes, MaxReceiveBufferPerStream: maxStreamReceiveBytes,
 		},
 	}
 	return s, nil
@@ -117,7 +118,12 @@
 
 // Close closes the listener and all connections at once.
 func (s *Server) Close() error {
-	return errors.Join(s.http.Close(), s.listener.Close())
+	err := s.http.Close()
+	// The server does not know the listener before Serve.
+	if closing := s.listener.Close(); !errors.Is(closing, net.ErrClosed) {
+		err = errors.Join(err, closing)
+	}
+	return err
 }
 
 // limit wraps a handler: the memory of each request is accounted for, and reading its body is
--- a/internal/tool/soak/crowd_test.go
+++ b/internal/tool/soak/crowd_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -189,6 +190,36 @@
 			func(string) string { return chunked("/quoting/tank", strings.Repeat(" ", maxEntryBytes), 64<<10) }, ""),
 	)
 
+	It("leaves an entry instance within its limits over HTTP/2, where one connection has many bodies", func() {
+		target := startEntry(program, plentifulDescriptors)
+		target.callOrdinary(0)
+		ctx, leave := context.WithCancel(context.Background())
+		defer leave()
+		protocols := &http.Protocols{}
+		protocols.SetUnencryptedHTTP2(true)
+		client := &http.Client{Transport: &http.Transport{Protocols: protocols}}
+		body := strings.Repeat(" ", maxEntryBytes-1)
+		for range 60 {
+			lastByte, end := io.Pipe()
+			context.AfterFunc(ctx, func() { _ = end.Close() })
+			request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+target.address+"/quoting/tank",
+				io.MultiReader(strings.NewReader(body), lastByte))
+			Expect(err).NotTo(HaveOccurred())
+			request.ContentLength = maxEntryBytes
+			go func() {
+				if response, err := client.Do(request); err == nil {
+					_ = response.Body.Close()
+				}
+			}()
+		}
+		time.Sleep(4 * time.Second)
+		target.callOrdinary(1)
+		target.check()
+		leave()
+		target.callOrdinary(2)
+		target.check()
+	})
+
 	It("leaves a single request of the largest size alone", func() {
 		target := startInstance(program, plentifulDescriptors)
 		target.callOrdinary(0)
