--- a/internal/tool/soak/crowd_test.go
+++ b/internal/tool/soak/crowd_test.go
@@ -30,7 +30,9 @@
 	// maxJobBytes is the largest body of a submission, maxEntryBytes the default of
 	// request.max_body_bytes.
 	maxJobBytes, maxEntryBytes = 256 << 10, 8 << 20
-	step                       = `{"count":1,"cpu":1000,"mem-mb":100,"est-runtime-ms":250}`
+	step                       = platformstand.Step
+	// maxPiece is more than any request has bytes.
+	maxPiece = 1 << 30
 )
 
 // padded returns a submission of one step, filled up with spaces.
@@ -77,7 +79,7 @@
 	advisor, err := w.serve(platformstand.Advisor(w.policy))
 	Expect(err).NotTo(HaveOccurred())
 	settings := platformstand.Settings("n0", "127.0.0.1", crowdPort, storeAddress, advisor)
-	settings = strings.Replace(settings, "memory-mb = 256", fmt.Sprintf("memory-mb = %d\nmax-fds = %d", instanceMemoryMB, descriptors), 1)
+	settings = platformstand.Limit(settings, instanceMemoryMB, descriptors)
 	file := filepath.Join(config.Folder, "n0.toml")
 	Expect(os.WriteFile(file, []byte(settings), 0o644)).To(Succeed())
 	return startTarget(&target{address: w.front(0), memoryMB: instanceMemoryMB, descriptors: descriptors, ordinary: func(number int) *http.Request {
@@ -137,18 +139,7 @@
 	DescribeTable("leaves the process within its limits, and callers get answers",
 		func(start func(program string, descriptors int) *target, descriptors, clients int, request func(path string) string, endless string) {
 			target := start(program, descriptors)
-			target.callOrdinary(0)
-			ctx, leave := context.WithCancel(context.Background())
-			defer leave()
-			gather(ctx, target.address, clients, func(number int) string {
-				return request(fmt.Sprintf("%s%016x", prefix, number))
-			}, endless)
-			time.Sleep(2 * time.Second)
-			target.callOrdinary(1)
-			target.check()
-			leave()
-			target.callOrdinary(2)
-			target.check()
+			target.withstand(func(ctx context.Context) { gather(ctx, target.address, clients, request, maxPiece, endless) })
 		},
 		Entry("bodies that lack their last byte", startInstance, plentifulDescriptors, 300,
 			func(path string) string { return allButLastByte(sized(path, padded(maxJobBytes))) }, ""),
@@ -192,32 +183,33 @@
 
 	It("leaves an entry instance within its limits over HTTP/2, where one connection has many bodies", func() {
 		target := startEntry(program, plentifulDescriptors)
-		target.callOrdinary(0)
-		ctx, leave := context.WithCancel(context.Background())
-		defer leave()
 		protocols := &http.Protocols{}
 		protocols.SetUnencryptedHTTP2(true)
 		client := &http.Client{Transport: &http.Transport{Protocols: protocols}}
 		body := strings.Repeat(" ", maxEntryBytes-1)
-		for range 60 {
-			lastByte, end := io.Pipe()
-			context.AfterFunc(ctx, func() { _ = end.Close() })
-			request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+target.address+"/quoting/tank",
-				io.MultiReader(strings.NewReader(body), lastByte))
-			Expect(err).NotTo(HaveOccurred())
-			request.ContentLength = maxEntryBytes
-			go func() {
-				if response, err := client.Do(request); err == nil {
-					_ = response.Body.Close()
-				}
-			}()
-		}
-		time.Sleep(4 * time.Second)
-		target.callOrdinary(1)
-		target.check()
-		leave()
-		target.callOrdinary(2)
-		target.check()
+		target.withstand(func(ctx context.Context) {
+			for range 60 {
+				lastByte, end := io.Pipe()
+				context.AfterFunc(ctx, func() { _ = end.Close() })
+				request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+target.address+"/quoting/tank",
+					io.MultiReader(strings.NewReader(body), lastByte))
+				Expect(err).NotTo(HaveOccurred())
+				request.ContentLength = maxEntryBytes
+				go func() {
+					if response, err := client.Do(request); err == nil {
+						_ = response.Body.Close()
+					}
+				}()
+			}
+			time.Sleep(2 * time.Second)
+		})
+	})
+
+	It("leaves the process within its limits with bodies in pieces that lack their last byte", func() {
+		target := startInstance(program, plentifulDescriptors)
+		target.withstand(func(ctx context.Context) {
+			gather(ctx, target.address, 300, func(path string) string { return allButLastByte(sized(path, padded(maxJobBytes))) }, 8<<10, "")
+		})
 	})
 
 	It("leaves a single request of the largest size alone", func() {
--- a/internal/tool/soak/target_test.go
+++ b/internal/tool/soak/target_test.go
@@ -28,7 +28,9 @@
 	// callPatience bounds one try, so that the specs end; it is no bound on the product.
 	callPatience = 10 * time.Second
 	// maxEndless is the number of bytes after which a request without end stops.
-	maxEndless   = 4 << 20
+	maxEndless = 4 << 20
+	// piecePause is the time between two pieces of a request.
+	piecePause   = 20 * time.Millisecond
 	samplePeriod = 20 * time.Millisecond
 )
 
@@ -158,10 +160,27 @@
 	Fail("no answer to an ordinary request: " + strings.Join(tries, "; "))
 }
 
-// gather opens one connection a client, sends each client's request, and returns when all
-// have sent or were closed. After it a client repeats endless until it has sent maxEndless
-// bytes; the connections stay open until ctx ends.
-func gather(ctx context.Context, address string, clients int, request func(number int) string, endless string) {
+// withstand expects that ordinary requests are served before the crowd, while it stays and once
+// it has left, and that the process keeps its limits. crowd returns once its clients have sent
+// what they send; they stay until ctx ends.
+func (t *target) withstand(crowd func(ctx context.Context)) {
+	GinkgoHelper()
+	t.callOrdinary(0)
+	ctx, leave := context.WithCancel(context.Background())
+	defer leave()
+	crowd(ctx)
+	time.Sleep(2 * time.Second)
+	t.callOrdinary(1)
+	t.check()
+	leave()
+	t.callOrdinary(2)
+	t.check()
+}
+
+// gather opens one connection a client, sends each client's request in pieces, and returns
+// when all have sent or were closed. After it a client repeats endless until it has sent
+// maxEndless bytes; the connections stay open until ctx ends.
+func gather(ctx context.Context, address string, clients int, request func(path string) string, piece int, endless string) {
 	var sending sync.WaitGroup
 	for number := range clients {
 		sending.Go(func() {
@@ -171,7 +190,13 @@
 			}
 			context.AfterFunc(ctx, func() { _ = conn.Close() })
 			_ = conn.SetWriteDeadline(time.Now().Add(callPatience))
-			_, err = io.WriteString(conn, request(number))
+			text := request(fmt.Sprintf("%s%016x", prefix, number))
+			for at := 0; at < len(text) && err == nil; at += piece {
+				if at > 0 {
+					time.Sleep(piecePause)
+				}
+				_, err = io.WriteString(conn, text[at:min(at+piece, len(text))])
+			}
 			for sent := 0; endless != "" && err == nil && sent < maxEndless; sent += len(endless) {
 				_, err = io.WriteString(conn, endless)
 			}
