--- a/review/rig-3/main.go
+++ b/review/rig-3/main.go
@@ -11,6 +11,7 @@
 var cases = map[string]func(*world){
 	"crashloop": crashLoop,
 	"shapes":    shapes,
+	"zoneloss":  zoneLoss,
 }
 
 func main() {
