--- a/review/rig-3/main.go
+++ b/review/rig-3/main.go
@@ -12,6 +12,7 @@
 	"crashloop": crashLoop,
 	"shapes":    shapes,
 	"zoneloss":  zoneLoss,
+	"zonecut":   zoneCut,
 }
 
 func main() {
--- a/review/rig-3/runner.go
+++ b/review/rig-3/runner.go
@@ -135,6 +135,7 @@
 const heartbeat = 1500 * time.Millisecond
 
 func (r *runner) beat(id string, life chan struct{}) {
+	written := time.Now()
 	for {
 		r.mu.Lock()
 		r.sequence++
@@ -153,7 +154,12 @@
 			return
 		default:
 		}
-		r.w.store.write("servers/"+id, entry)
+		if !r.w.isCut(r.zone) {
+			r.w.store.write("servers/"+id, entry)
+			written = time.Now()
+		} else if time.Since(written) > 3*heartbeat {
+			r.w.store.drop("servers/" + id)
+		}
 		select {
 		case <-life:
 			return
@@ -242,7 +248,7 @@
 			r.mu.Unlock()
 			return
 		}
-		if r.hang && !r.carry {
+		if r.hang && !r.carry || r.w.sideCut(r.zone, c.Fence) {
 			r.mu.Unlock()
 			<-req.Context().Done()
 			return
@@ -329,7 +335,7 @@
 		r.mu.Unlock()
 		return
 	}
-	if r.hang && !r.carry {
+	if r.hang && !r.carry || r.w.sideCut(r.zone, c.Fence) {
 		r.mu.Unlock()
 		<-req.Context().Done()
 		return
@@ -383,7 +389,7 @@
 		ends = append(ends, []any{e.n, e.task, e.run, e.how, ""})
 	}
 	body := map[string]any{"clock-ms": r.clock().Milliseconds(), "running": running, "ended": ends}
-	hang, delay := r.hang, r.delay
+	hang, delay := r.hang || r.w.sideCut(r.zone, c.Fence), r.delay
 	r.mu.Unlock()
 	if hang {
 		<-req.Context().Done()
--- a/review/rig-3/world.go
+++ b/review/rig-3/world.go
@@ -40,6 +40,9 @@
 	version int
 	broken  []string
 	taken   map[int]bool
+	// cutZone is the zone that is cut off, cutFence the fence of the owner there.
+	cutZone  string
+	cutFence uint64
 }
 
 // taskRun is one start of a task as its runner has seen it.
@@ -114,7 +117,7 @@
 
 // freeAddress returns a loopback address with a free port.
 func (w *world) freeAddress() string {
-	return w.host + "9:" + strconv.Itoa(w.freePort(w.host+"9"))
+	return w.host + "99:" + strconv.Itoa(w.freePort(w.host+"99"))
 }
 
 func (w *world) freePort(ip string) int {
@@ -516,6 +519,7 @@
 // proxy forwards connections, and does harm where it is told.
 type proxy struct {
 	address, target string
+	zone            string
 	mu              sync.Mutex
 	silent          bool
 	conns           map[net.Conn]bool
