--- a/review/rig-3/main.go
+++ b/review/rig-3/main.go
@@ -9,10 +9,11 @@
 
 // cases are the scenarios by name.
 var cases = map[string]func(*world){
-	"crashloop": crashLoop,
-	"shapes":    shapes,
-	"zoneloss":  zoneLoss,
-	"zonecut":   zoneCut,
+	"crashloop":  crashLoop,
+	"shapes":     shapes,
+	"zoneloss":   zoneLoss,
+	"zonecut":    zoneCut,
+	"overcommit": overcommit,
 }
 
 func main() {
