--- a/review/rig-3/main.go
+++ b/review/rig-3/main.go
@@ -13,6 +13,7 @@
 	"shapes":     shapes,
 	"zoneloss":   zoneLoss,
 	"zonecut":    zoneCut,
+	"badid":      badID,
 	"overcommit": overcommit,
 }
 
