--- a/review/rig-3/main.go
+++ b/review/rig-3/main.go
@@ -14,6 +14,7 @@
 	"zoneloss":   zoneLoss,
 	"zonecut":    zoneCut,
 	"badid":      badID,
+	"dotid":      dotID,
 	"overcommit": overcommit,
 }
 
