--- a/review/rig-3/main.go
+++ b/review/rig-3/main.go
@@ -9,12 +9,14 @@
 
 // cases are the scenarios by name.
 var cases = map[string]func(*world){
+	"chaos":      chaos,
 	"crashloop":  crashLoop,
 	"shapes":     shapes,
 	"zoneloss":   zoneLoss,
 	"zonecut":    zoneCut,
 	"badid":      badID,
 	"dotid":      dotID,
+	"moves":      moves,
 	"overcommit": overcommit,
 }
 
--- a/review/rig-3/runner.go
+++ b/review/rig-3/runner.go
@@ -34,6 +34,7 @@
 }
 
 type ended struct {
+	at   time.Time
 	n    uint64
 	task string
 	run  int
@@ -71,6 +72,8 @@
 	hang, carry bool
 	// delay is how long an answer takes.
 	delay time.Duration
+	// lapsedAt is when the lease was last seen to have ended.
+	lapsedAt time.Time
 }
 
 func (r *runner) clock() time.Duration { return time.Since(r.epoch) }
@@ -178,6 +181,7 @@
 		}
 		r.mu.Lock()
 		if r.clock() > r.until {
+			r.lapsedAt = time.Now()
 			for task := range r.running {
 				r.end(task, "lapsed")
 			}
@@ -207,7 +211,7 @@
 	delete(r.running, task)
 	r.n++
 	r.highest[task] = max(r.highest[task], at.number)
-	r.ends = append(r.ends, ended{r.n, task, at.number, how})
+	r.ends = append(r.ends, ended{time.Now(), r.n, task, at.number, how})
 	r.w.over(r.id, task, at.number, how)
 	close(r.changed)
 	r.changed = make(chan struct{})
@@ -253,6 +257,20 @@
 			<-req.Context().Done()
 			return
 		}
+		if c.UntilMS > 0 && c.Task != "" && r.w.isLate() {
+			life := r.life
+			r.mu.Unlock()
+			time.AfterFunc(time.Duration(2000+rand.Intn(6000))*time.Millisecond, func() {
+				r.mu.Lock()
+				defer r.mu.Unlock()
+				if r.up && r.life == life && !r.w.sideCut(r.zone, c.Fence) {
+					r.w.log("late order: %s run %d", c.Task, c.Run)
+					handle(c)
+				}
+			})
+			<-req.Context().Done()
+			return
+		}
 		status, body := handle(c)
 		body["clock-ms"] = r.clock().Milliseconds()
 		hang, delay := r.hang, r.delay
@@ -350,7 +368,9 @@
 		r.extend(c.UntilMS)
 	}
 	for len(r.ends) > 0 && r.ends[0].n <= c.LastSeen {
-		r.w.noted(r.id, r.ends[0])
+		if r.lapsedAt.Before(r.ends[0].at) {
+			r.w.noted(r.id, r.ends[0])
+		}
 		r.ends = r.ends[1:]
 	}
 	life := r.life
@@ -398,3 +418,10 @@
 	time.Sleep(delay)
 	reply(w, 200, body)
 }
+
+// isLate draws whether a start is carried out late.
+func (w *world) isLate() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.late > 0 && rand.Float64() < w.late
+}
--- a/review/rig-3/world.go
+++ b/review/rig-3/world.go
@@ -43,6 +43,8 @@
 	// cutZone is the zone that is cut off, cutFence the fence of the owner there.
 	cutZone  string
 	cutFence uint64
+	// late is the share of starts that get no answer and are carried out later.
+	late float64
 }
 
 // taskRun is one start of a task as its runner has seen it.
@@ -333,6 +335,9 @@
 func (n *node) start() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if n.process != nil && n.alive() {
+		return
+	}
 	out := os.Getenv("RIG3_LOGS")
 	if out == "" {
 		out = n.w.temp
