--- a/review/rig-3/main.go
+++ b/review/rig-3/main.go
@@ -10,6 +10,7 @@
 // cases are the scenarios by name.
 var cases = map[string]func(*world){
 	"chaos":      chaos,
+	"crossed":    crossed,
 	"crashloop":  crashLoop,
 	"shapes":     shapes,
 	"zoneloss":   zoneLoss,
--- a/review/rig-3/runner.go
+++ b/review/rig-3/runner.go
@@ -72,6 +72,11 @@
 	hang, carry bool
 	// delay is how long an answer takes.
 	delay time.Duration
+	// born is the start of the life in Unix milliseconds, 0 if the runner doesn't tell; it keeps
+	// its id over lives then.
+	born int64
+	// front, if set, is the proxy at the runner's address.
+	front *callProxy
 	// lapsedAt is when the lease was last seen to have ended.
 	lapsedAt time.Time
 }
@@ -93,8 +98,15 @@
 	if err != nil {
 		r.w.cannot("runner does not listen: %v", err)
 	}
-	r.id = fmt.Sprintf("i-%010x", rand.Int63n(1<<40))
+	if r.born == 0 || r.id == "" {
+		r.id = fmt.Sprintf("i-%010x", rand.Int63n(1<<40))
+	}
 	r.epoch = time.Now().Add(-time.Duration(100+rand.Intn(100000)) * time.Millisecond)
+	if r.born != 0 {
+		// The clock of each life starts anew.
+		r.born = time.Now().UnixMilli()
+		r.epoch = time.Now().Add(-time.Second)
+	}
 	r.until, r.fence, r.n, r.ends = 0, 0, 0, nil
 	r.running, r.highest = map[string]*run{}, map[string]int{}
 	r.changed, r.life = make(chan struct{}), make(chan struct{})
@@ -132,7 +144,9 @@
 	r.w.log("runner %s crashes; lost: %v", r.id, lost)
 	id := r.id
 	// Its entry is removed after three heartbeat intervals of silence.
-	time.AfterFunc(3*heartbeat, func() { r.w.store.drop("servers/" + id) })
+	if r.born == 0 {
+		time.AfterFunc(3*heartbeat, func() { r.w.store.drop("servers/" + id) })
+	}
 }
 
 const heartbeat = 1500 * time.Millisecond
@@ -146,11 +160,19 @@
 		if r.draining {
 			state = "draining"
 		}
-		entry, _ := json.Marshal(map[string]any{
-			"service": r.service, "address": r.address, "zone": r.zone, "version": "v1", "slots": 8, "state": state,
+		address := r.address
+		if r.front != nil {
+			address = r.front.address
+		}
+		fields := map[string]any{
+			"service": r.service, "address": address, "zone": r.zone, "version": "v1", "slots": 8, "state": state,
 			"cold-left-ms": 0, "capacity": map[string]int{"cpu": r.cpu, "mem-mb": r.mem, "gpu": r.gpu}, "labels": r.labels,
 			"clock-ms": r.clock().Milliseconds(), "sequence": r.sequence,
-		})
+		}
+		if r.born != 0 {
+			fields["born"] = r.born
+		}
+		entry, _ := json.Marshal(fields)
 		r.mu.Unlock()
 		select {
 		case <-life:
@@ -409,6 +431,9 @@
 		ends = append(ends, []any{e.n, e.task, e.run, e.how, ""})
 	}
 	body := map[string]any{"clock-ms": r.clock().Milliseconds(), "running": running, "ended": ends}
+	if r.born != 0 {
+		body["born"] = r.born
+	}
 	hang, delay := r.hang || r.w.sideCut(r.zone, c.Fence), r.delay
 	r.mu.Unlock()
 	if hang {
