--- a/review/rig-3/main.go
+++ b/review/rig-3/main.go
@@ -9,15 +9,12 @@
 
 // cases are the scenarios by name.
 var cases = map[string]func(*world){
-	"chaos":      chaos,
 	"crossed":    crossed,
 	"crashloop":  crashLoop,
-	"shapes":     shapes,
 	"zoneloss":   zoneLoss,
 	"zonecut":    zoneCut,
 	"badid":      badID,
 	"dotid":      dotID,
-	"moves":      moves,
 	"overcommit": overcommit,
 }
 
