--- a/internal/process/drive/confirm.go
+++ b/internal/process/drive/confirm.go
@@ -21,6 +21,8 @@
 	// least, so that they stay a small part of what the store allows.
 	FenceTimeout  = 600 * time.Millisecond
 	fenceInterval = 20 * time.Millisecond
+	// fenceReadTimeout bounds one read of the fence.
+	fenceReadTimeout = 4 * time.Second
 	// confirmPeriod is the time between reads of the fence by an owner that does not reach a
 	// majority of its workers. Two of them may fail within confirmWindow.
 	confirmPeriod = 700 * time.Millisecond
@@ -31,7 +33,7 @@
 // newFence returns a reader of the revision at which the shard was last claimed.
 func newFence(store cairnbay.Store, key string) *fresh.Reader[cairnbay.Revision] {
 	return fresh.New(fresh.Config[cairnbay.Revision]{
-		Timeout: FenceTimeout, Interval: fenceInterval,
+		Timeout: fenceReadTimeout, Interval: fenceInterval,
 		Read: func(ctx context.Context) (cairnbay.Revision, error) {
 			entry, err := store.Get(ctx, key)
 			return entry.Revision, err
@@ -43,15 +45,17 @@
 // answer that something does not exist needs it: a replaced owner lacks what its successor
 // has accepted. Errors: ErrNotOwner; ErrUnconfirmed if the store does not answer.
 func (d *Drive) confirm(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, FenceTimeout)
+	return d.confirmWithin(ctx, FenceTimeout)
+}
+
+func (d *Drive) confirmWithin(ctx context.Context, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	calledAt := d.config.BootTime()
 	revision, err := d.fence.Get(ctx)
 	switch {
 	case err == nil && revision == d.config.Claim.Fence.Revision:
-		d.mu.Lock()
-		d.ownedAt = max(d.ownedAt, calledAt)
-		d.mu.Unlock()
+		d.handleOwned(calledAt)
 		return nil
 	case err == nil, errors.Is(err, cairnbay.ErrNotFound):
 		d.handleFenced(storeReporter)
@@ -63,6 +67,18 @@
 	}
 }
 
+// handleOwned handles that the store has shown no newer owner at some time after a boot time.
+func (d *Drive) handleOwned(calledAt time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	awaited := d.ownedAt <= d.lapseAt
+	d.ownedAt = max(d.ownedAt, calledAt)
+	if awaited && d.ownedAt > d.lapseAt {
+		d.expireSilent(d.config.BootTime())
+		d.requestPlan()
+	}
+}
+
 // confirmRecent is confirm for answers that may be up to confirmWindow old. It needs no
 // call while a majority of the workers accepts this owner's orders.
 func (d *Drive) confirmRecent(ctx context.Context) error {
@@ -76,16 +92,9 @@
 }
 
 // confirmedByMajority says whether a majority of the workers accepted the token within
-// confirmWindow. Departed ones do not count, so that the others go on while many leave
-// together. The caller holds the lock.
+// confirmWindow; the caller holds the lock.
 func (d *Drive) confirmedByMajority(now time.Duration) bool {
-	confirmed := 0
-	for _, link := range d.links {
-		if !link.departed && link.confirmedAt > 0 && now-link.confirmedAt <= confirmWindow {
-			confirmed++
-		}
-	}
-	return confirmed*2 > d.presentLinks()
+	return d.isQuorum(d.acceptedSince(now - confirmWindow))
 }
 
 // presentLinks is the number of workers that have not departed; the caller holds the lock.
@@ -118,17 +127,19 @@
 		case <-d.confirmDue:
 		}
 		if d.needsStore() {
-			// What fails is repeated, and logged once no orders can be given.
-			_ = d.confirm(d.ctx)
+			// A slow store takes longer than confirmPeriod, and shows all the same that leases
+			// have ended. What fails is repeated, and logged once no orders can be given.
+			d.done.Go(func() { _ = d.confirmWithin(d.ctx, fenceReadTimeout) })
 		}
 	}
 }
 
-// needsStore says whether the ownership is confirmed by the store only, or not at all.
+// needsStore says whether the ownership is confirmed by the store only, or not at all, or
+// whether leases count as ended only once the store has confirmed it.
 func (d *Drive) needsStore() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return !d.fenced && d.presentLinks() > 0 && !d.confirmedByMajority(d.config.BootTime())
+	return !d.fenced && d.presentLinks() > 0 && (d.ownedAt <= d.lapseAt || !d.confirmedByMajority(d.config.BootTime()))
 }
 
 // confirmLoaded confirms the ownership after the journal was read late. The first renewals
@@ -159,12 +170,14 @@
 // newer one.
 func (d *Drive) handleFenced(reporter string) {
 	d.mu.Lock()
-	first := !d.fenced
+	first, now := !d.fenced, d.config.BootTime()
+	log := d.config.Log.WithFields(logrus.Fields{
+		"reporter": reporter, "token": d.config.Claim.Token, "store_age_ms": (now - d.ownedAt).Milliseconds(),
+	})
 	d.fenced = true
 	d.mu.Unlock()
 	if first {
-		d.config.Log.WithFields(logrus.Fields{"reporter": reporter, "token": d.config.Claim.Token}).
-			Warn("fenced by a newer owner")
+		log.Warn("fenced by a newer owner")
 		d.cancel()
 		d.config.OnFenced()
 	}
--- /dev/null
+++ b/internal/process/drive/cut_test.go
@@ -0,0 +1,129 @@
+package drive_test
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"cairnbay"
+	"cairnbay/internal/fake/agent"
+	"cairnbay/internal/process/drive"
+)
+
+// cutAgent is the workers as one instance reaches them: all but those that are cut off from it.
+type cutAgent struct {
+	*agent.Fleet
+
+	mu  sync.Mutex
+	cut []string
+}
+
+func (a *cutAgent) setCut(workers ...string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.cut = workers
+}
+
+func (a *cutAgent) reaches(target cairnbay.AgentTarget) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return !slices.Contains(a.cut, target.Worker)
+}
+
+func (a *cutAgent) Hold(ctx context.Context, target cairnbay.AgentTarget, order cairnbay.AgentHold) (cairnbay.AgentState, error) {
+	if !a.reaches(target) {
+		return cairnbay.AgentState{}, cairnbay.ErrUnknown
+	}
+	return a.Fleet.Hold(ctx, target, order)
+}
+
+func (a *cutAgent) Start(ctx context.Context, target cairnbay.AgentTarget, order cairnbay.AgentStart) (time.Duration, error) {
+	if !a.reaches(target) {
+		return 0, cairnbay.ErrUnknown
+	}
+	return a.Fleet.Start(ctx, target, order)
+}
+
+func (a *cutAgent) Stop(ctx context.Context, target cairnbay.AgentTarget, order cairnbay.AgentStop) (time.Duration, error) {
+	if !a.reaches(target) {
+		return 0, cairnbay.ErrUnknown
+	}
+	return a.Fleet.Stop(ctx, target, order)
+}
+
+// splitCluster is a cluster whose first owner can be cut off, with some workers, from the store
+// and from the other workers.
+type splitCluster struct {
+	*cluster
+	// inside is the workers as the first owner reaches them, outside as the later ones do.
+	inside, outside *cutAgent
+	former          *drive.Drive
+	// size is the capacity of each worker that the list shows.
+	size cairnbay.Resources
+}
+
+// splitTask is the size of a task of the first owner's job.
+var splitTask = cairnbay.Resources{MilliCPU: 1000, MemoryMB: 100}
+
+// newSplitCluster starts an owner of workers that each run a task.
+func newSplitCluster(workers int) *splitCluster {
+	c := &splitCluster{cluster: newCluster(workers), size: splitTask}
+	c.listed = func() (entries []cairnbay.WorkerEntry) {
+		for _, id := range c.workers {
+			entries = append(entries, cairnbay.WorkerEntry{ID: id, Class: class, Address: id, Capacity: c.size})
+		}
+		return entries
+	}
+	c.lease = 3 * lease
+	c.runTime.Store(int64(time.Minute))
+	c.inside, c.outside = &cutAgent{Fleet: c.fleet}, &cutAgent{Fleet: c.fleet}
+	c.agent, c.caller = c.inside, c.store.For("former")
+	c.former = c.startOwner()
+	c.agent, c.caller = c.outside, nil
+	DeferCleanup(c.former.Close)
+	Eventually(func() int { return c.former.Counts().Usable }, "5s", "10ms").Should(Equal(workers))
+	workflow := flatJob("j", workers)
+	workflow.Steps[0].Size = splitTask
+	Eventually(func() any { return submit(c.former, workflow, time.Second) }, "10s", "20ms").Should(Equal(accepted))
+	Eventually(c.fleet.Starts, "5s", "1ms").Should(Equal(workers))
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	Expect(c.former.Flush(ctx)).To(Succeed())
+	c.size = splitTask.Times(workers)
+	for _, id := range c.workers {
+		c.fleet.Resize(id, c.size)
+	}
+	c.former.SetWorkers(c.entries())
+	return c
+}
+
+// cutOff cuts the first owner off with the first workers.
+func (c *splitCluster) cutOff(workers int) {
+	c.store.SetCut("former", true)
+	c.inside.setCut(c.workers[workers:]...)
+	c.outside.setCut(c.workers[:workers]...)
+}
+
+// heal ends the cut.
+func (c *splitCluster) heal() {
+	c.store.SetCut("former", false)
+	c.inside.setCut()
+	c.outside.setCut()
+}
+
+// Guards against tasks that run twice (TWICE): an owner that is cut off from the store, and that
+// most workers accept, counts the leases of the others as ended while its successor extends them.
+var _ = It("an owner that is cut off with most of its workers starts no task of the others again", func() {
+	c := newSplitCluster(5)
+	c.cutOff(4)
+	successor := c.startOwner()
+	DeferCleanup(successor.Close)
+	Consistently(c.fleet.Broken, 4*c.lease, "50ms").Should(BeEmpty())
+	c.heal()
+	Eventually(successor.Counts, "5s").Should(HaveField("Running", 5))
+	Expect(c.fleet.Broken()).To(BeEmpty())
+})
--- a/internal/process/drive/drive.go
+++ b/internal/process/drive/drive.go
@@ -118,6 +118,11 @@
 	// ownership.
 	ownedAt     time.Duration
 	unconfirmed bool
+	// lapseAt is the latest boot time by which leases of silent workers have ended; they count
+	// as ended once the store has shown no newer owner after it.
+	lapseAt time.Duration
+	// formersExcluded says that no former owner can be confirmed by workers any more.
+	formersExcluded bool
 	// pendingCancels counts the cancellations being stored.
 	pendingCancels int
 	// compacting says that the journal is being rewritten, rewrittenBytes is the size
--- a/internal/process/drive/drive_test.go
+++ b/internal/process/drive/drive_test.go
@@ -53,6 +53,8 @@
 	afterRestart bool
 	// agent is what owners call in place of the fleet; nil for the fleet itself.
 	agent cairnbay.Agent
+	// caller is the store as owners call it; nil for the store itself.
+	caller cairnbay.BatchStore
 	// maxSegments and maxGrowth are the number of segments and the bytes of growth
 	// from which owners rewrite the journal.
 	maxSegments, maxGrowth int
@@ -107,7 +109,7 @@
 	c.fence = cairnbay.Expectation{Key: "generation", Revision: revision}
 	owner := drive.New(drive.Config{
 		Claim: tenure.Claim{Shard: class, Token: uint64(revision), Generation: c.generation, Fence: c.fence, ClaimedAt: timer.Boot(), AfterRestart: c.afterRestart},
-		Store: c.store, Agent: cmp.Or[cairnbay.Agent](c.agent, c.fleet), Clock: c.clock, BootTime: timer.Boot, Log: c.log, Lease: c.lease, MaxLease: maxWorkerLease,
+		Store: cmp.Or[cairnbay.BatchStore](c.caller, c.store), Agent: cmp.Or[cairnbay.Agent](c.agent, c.fleet), Clock: c.clock, BootTime: timer.Boot, Log: c.log, Lease: c.lease, MaxLease: maxWorkerLease,
 		AdviceLimits: func() (int, int) { return 4, 4 }, Advise: c.advise,
 		MaxSegments: c.maxSegments, MaxGrowth: c.maxGrowth, Metrics: c.metrics, OnFenced: func() {},
 		Sched: sched.Config{Retention: time.Minute, StopTime: 50 * time.Millisecond, Learn: c.learn},
--- a/internal/process/drive/inherited.go
+++ b/internal/process/drive/inherited.go
@@ -82,12 +82,13 @@
 	for id := range d.inherited {
 		l := d.findLink(id)
 		answered := l != nil && l.answeredAt > 0
-		if answered || now < d.inheritedLeaseEndsBy(l) || l != nil && d.awaitUnanswered(l, now) {
+		if answered || !d.hasLapsed(d.inheritedLeaseEndsBy(l), now) || l != nil && d.awaitUnanswered(l, now) {
 			continue
 		}
 		if l != nil {
 			d.config.Log.WithFields(logrus.Fields{
 				"worker": id, "silent_ms": (now - d.config.Claim.ClaimedAt).Milliseconds(), "granted": false, "long": l.mayHoldLongest(),
+				"store_age_ms": (now - d.ownedAt).Milliseconds(), "accepted": d.acceptedSince(d.inheritedLeaseEndsBy(l)),
 			}).Info("lease ended")
 			l.lapsed = l.lapsed || l.superseded
 			d.journalRelease(l)
@@ -104,7 +105,7 @@
 // attempts no longer wait for it. The caller holds the lock.
 func (d *Drive) awaitUnanswered(l *link, now time.Duration) bool {
 	id := l.entry.ID
-	if len(l.unanswered) == 0 || now >= d.formerSilentAt+leaseTime(d.config.MaxLease) {
+	if len(l.unanswered) == 0 || d.hasLapsed(d.formerSilentAt+leaseTime(d.config.MaxLease), now) {
 		return false
 	}
 	if !d.inherited[id].confined {
@@ -121,7 +122,7 @@
 // is not known; the caller holds the lock.
 func (d *Drive) formerSilence(now time.Duration) time.Duration {
 	switch {
-	case d.config.Claim.AfterRestart && d.settled+1 == d.config.Claim.Generation:
+	case d.onlyOwnFormer():
 		// Only the former process of this instance could extend them.
 		return d.config.Claim.ClaimedAt
 	case d.confirmedByMajority(now):
--- a/internal/process/drive/leases.go
+++ b/internal/process/drive/leases.go
@@ -8,6 +8,7 @@
 
 	cairnbayv1 "cairnbay/gen/cairnbay/v1"
 	"cairnbay/internal/process/sched"
+	"cairnbay/internal/process/timer"
 )
 
 // grantLease returns the lease end, on the worker's clock, of an order sent now;
@@ -21,10 +22,43 @@
 	return end
 }
 
-// leaseEnded says whether every lease from this owner and former ones has certainly ended,
-// even on a slow worker clock.
-func (l *link) leaseEnded(now time.Duration) bool {
-	return l.answeredAt > 0 && now > l.leaseEndsBy()
+// leaseEnded says whether every lease of a worker that has answered has certainly ended; the
+// caller holds the lock.
+func (d *Drive) leaseEnded(l *link, now time.Duration) bool {
+	return l.answeredAt > 0 && d.hasLapsed(l.leaseEndsBy(), now)
+}
+
+// hasLapsed says whether leases from this owner and former ones, which end by a boot time, have
+// ended without an extension by a newer owner. Either the store has shown none since, or a
+// quorum of the workers has accepted the token since: a newer owner extends such leases only
+// once there can be none. It requests a read of the store if neither is known. The caller holds
+// the lock.
+func (d *Drive) hasLapsed(endsBy, now time.Duration) bool {
+	if now <= endsBy {
+		return false
+	}
+	if d.ownedAt > endsBy || d.isQuorum(d.acceptedSince(endsBy)) {
+		return true
+	}
+	if endsBy > d.lapseAt {
+		d.lapseAt = endsBy
+		timer.Signal(d.confirmDue)
+	}
+	return false
+}
+
+// expireSilent counts the attempts on silent workers as lost, after the store has shown that
+// nobody has extended their leases; the caller holds the lock.
+func (d *Drive) expireSilent(now time.Duration) {
+	for _, l := range d.links {
+		if l.failures == 0 {
+			continue
+		}
+		d.expireFormer(l.lineage)
+		if !l.lapsed && !d.leaving(l) && d.leaseEnded(l, now) {
+			d.expireLease(l, now)
+		}
+	}
 }
 
 // leaseEndsBy is the boot time at which every lease from this owner and former ones has
@@ -105,10 +139,11 @@
 // unansweredMayRun returns the attempts that another run of a silent worker may still run,
 // though the lease of the known one has ended; the caller holds the lock.
 func (d *Drive) unansweredMayRun(l *link, now time.Duration) []sched.PlacedAttempt {
-	if now > max(l.answeredAt, l.grantedAt)+leaseTime(d.config.MaxLease) {
+	unanswered := d.unansweredOn(l)
+	if len(unanswered) > 0 && d.hasLapsed(max(l.answeredAt, l.grantedAt)+leaseTime(d.config.MaxLease), now) {
 		return nil
 	}
-	return d.unansweredOn(l)
+	return unanswered
 }
 
 // expireLease counts the attempts on a silent worker as lost whose leases have certainly
@@ -121,7 +156,8 @@
 	}
 	d.config.Log.WithFields(logrus.Fields{
 		"worker": l.entry.ID, "silent_ms": (now - l.answeredAt).Milliseconds(), "granted": l.grantedAt > 0,
-		"long": l.longLease || l.usualLapsed, "unanswered": len(kept),
+		"long": l.longLease || l.usualLapsed, "unanswered": len(kept), "store_age_ms": (now - d.ownedAt).Milliseconds(),
+		"accepted": d.acceptedSince(l.leaseEndsBy()),
 	}).Info("lease ended")
 	if !l.lapsed {
 		l.usualLapsed = true
--- a/internal/process/drive/lineage.go
+++ b/internal/process/drive/lineage.go
@@ -291,7 +291,7 @@
 // ended while the current run does not answer; the caller holds the lock.
 func (d *Drive) expireFormer(g *lineage) {
 	for _, former := range g.former {
-		if former.leaseEnded(d.config.BootTime()) && !former.lapsed {
+		if !former.lapsed && d.leaseEnded(former, d.config.BootTime()) {
 			former.lapsed = true
 			d.handleWorkerLoss(former.entry.ID, "lease_ended", sched.LossSilent)
 			d.journalRelease(former)
--- a/internal/process/drive/link.go
+++ b/internal/process/drive/link.go
@@ -51,8 +51,11 @@
 	// unansweredAt. Another run of the worker may carry out that start.
 	unanswered   []sched.PlacedAttempt
 	unansweredAt time.Duration
-	// confirmedAt is the boot time at which the last accepted call was sent.
+	// confirmedAt is the boot time at which the last accepted renewal was sent: its answer tells
+	// which run has accepted it.
 	confirmedAt time.Duration
+	// formerRuns says that the latest answer listed runs that former owners ordered.
+	formerRuns bool
 	// acked is the sequence of the last attempt end that is in the store.
 	acked uint64
 	// listsEnds says that the latest answer listed ends, which the worker keeps until
@@ -152,16 +155,13 @@
 	return timeout
 }
 
-// updateClock stores the worker's clock from an answer, by which the worker also
-// accepted the token. sent and now are the boot times of the call and of the
-// answer. A clock of 0 changes nothing, nor does one that has gone back, in an answer that
-// was overtaken.
-func (l *link) updateClock(clock, sent, now time.Duration) {
+// updateClock stores the worker's clock from an answer at a boot time. A clock of 0 changes
+// nothing, nor does one that has gone back, in an answer that was overtaken.
+func (l *link) updateClock(clock, now time.Duration) {
 	if clock <= 0 || l.restartable() && clock < l.clock {
 		return
 	}
 	l.clock, l.answeredAt = clock, now
-	l.confirmedAt = max(l.confirmedAt, sent)
 }
 
 // renewLoop renews the worker's lease and reads its state until the worker is
@@ -217,7 +217,7 @@
 	} else {
 		d.logUnconfirmed(sent)
 	}
-	if confirmed && l.doubtedAt == 0 && (l.failures == 0 || sent-l.answeredAt <= maxRenewSilence && !d.leaving(l)) {
+	if confirmed && l.doubtedAt == 0 && d.mayExtend(l) && (l.failures == 0 || sent-l.answeredAt <= maxRenewSilence && !d.leaving(l)) {
 		order.LeaseEnd = l.grantLease(sent, d.config.Lease)
 	}
 	if l.answeredAt == 0 || l.failures > 0 {
@@ -272,11 +272,11 @@
 	_, listed := d.listed[l.entry.ID]
 	l.departed = d.leaving(l) && l.answeredAt > 0 && now-l.answeredAt > departedTimeout
 	formerRuns := d.formerMayRun(l.lineage)
-	if d.leaving(l) && l.leaseEnded(now) && !formerRuns && len(d.unansweredMayRun(l, now)) == 0 {
+	if d.leaving(l) && d.leaseEnded(l, now) && !formerRuns && len(d.unansweredMayRun(l, now)) == 0 {
 		d.drop(l, "left")
 		return 0, false
 	}
-	if l.leaseEnded(now) && !l.lapsed {
+	if !l.lapsed && d.leaseEnded(l, now) {
 		d.expireLease(l, now)
 	}
 	_, inherited := d.inherited[l.entry.ID]
@@ -333,7 +333,9 @@
 	if l.answeredAt == 0 {
 		d.inheritLease(l, state.Clock)
 	}
-	l.updateClock(state.Clock, sent, now.BootTime)
+	l.updateClock(state.Clock, now.BootTime)
+	l.confirmedAt = max(l.confirmedAt, sent)
+	d.updateFormerRuns(l, state)
 	if sent >= l.doubtedAt {
 		l.doubtedAt = 0
 	}
--- a/internal/process/drive/orders.go
+++ b/internal/process/drive/orders.go
@@ -51,7 +51,7 @@
 		return delivery{}, cairnbay.ErrInvalidTicket
 	}
 	sending, ok := d.prepareOrder(action.Target.Worker)
-	if !ok {
+	if !ok || !d.mayExtend(sending.link) {
 		return delivery{}, cairnbay.ErrOverloaded
 	}
 	sending.leaseEnd = sending.link.grantLease(sending.sent, d.config.Lease)
@@ -97,7 +97,7 @@
 	case l.isOtherRun(clock, order.sent):
 		d.handleOtherClock(l, clock, order.sent)
 	default:
-		l.updateClock(clock, order.sent, d.config.BootTime())
+		l.updateClock(clock, d.config.BootTime())
 		d.core.HandleAnswer(l.entry.ID, clock)
 	}
 }
