--- a/internal/process/drive/compact.go
+++ b/internal/process/drive/compact.go
@@ -89,9 +89,8 @@
 		links = append(links, known.former...)
 	}
 	for _, link := range links {
-		// The record of a worker that is not journaled yet may be queued before the
-		// rewrite. Only a worker released after its lease ended is left out.
-		if link.journaled || !link.lapsed {
+		// The record of a worker that is not journaled yet may be queued before the rewrite.
+		if link.used != nil {
 			records = append(records, d.workerRecord(link))
 		}
 	}
--- a/internal/process/drive/confine.go
+++ b/internal/process/drive/confine.go
@@ -27,7 +27,7 @@
 // workerRecord returns the record of a worker that is used; the caller holds the lock.
 func (d *Drive) workerRecord(l *link) *cairnbayv1.WorkRecord {
 	ref := encodeWorker(l.entry)
-	ref.LongLease = l.longLease
+	ref.LongLease, ref.UsedSince = l.longLease, d.markUsed(l).since
 	attempts := l.unanswered
 	if l.confined {
 		ref.Confined, ref.LongLease = true, l.longLease || len(l.unanswered) > 0
--- a/internal/process/drive/confirm.go
+++ b/internal/process/drive/confirm.go
@@ -13,7 +13,7 @@
 
 const (
 	// confirmWindow is how long an owner may give orders after the store last showed it as the
-	// owner, or after a majority of its workers last accepted its fencing token. Three
+	// owner, or after a quorum of its workers last accepted its fencing token. Three
 	// renewals, each of at most renewWait + renewMargin, fit into it.
 	confirmWindow = 2500 * time.Millisecond
 	// FenceTimeout bounds the wait for a read of the fence, below the time that another
@@ -24,7 +24,7 @@
 	// fenceReadTimeout bounds one read of the fence.
 	fenceReadTimeout = 4 * time.Second
 	// confirmPeriod is the time between reads of the fence by an owner that does not reach a
-	// majority of its workers. Two of them may fail within confirmWindow.
+	// quorum of its workers. Two of them may fail within confirmWindow.
 	confirmPeriod = 700 * time.Millisecond
 	// storeReporter stands for the store as the source of the news of another owner.
 	storeReporter = "store"
@@ -80,7 +80,7 @@
 }
 
 // confirmRecent is confirm for answers that may be up to confirmWindow old. It needs no
-// call while a majority of the workers accepts this owner's orders.
+// call while a quorum of the workers accepts this owner's orders.
 func (d *Drive) confirmRecent(ctx context.Context) error {
 	d.mu.Lock()
 	confirmed := d.ownershipConfirmed(d.config.BootTime())
@@ -91,12 +91,6 @@
 	return d.confirm(ctx)
 }
 
-// confirmedByMajority says whether a majority of the workers accepted the token within
-// confirmWindow; the caller holds the lock.
-func (d *Drive) confirmedByMajority(now time.Duration) bool {
-	return d.isQuorum(d.acceptedSince(now - confirmWindow))
-}
-
 // presentLinks is the number of workers that have not departed; the caller holds the lock.
 func (d *Drive) presentLinks() (count int) {
 	for _, link := range d.links {
@@ -107,18 +101,15 @@
 	return count
 }
 
-// ownershipConfirmed says whether orders may be given: within confirmWindow, the store
-// showed no newer owner or a majority of the workers accepted the token. The caller holds
-// the lock.
+// ownershipConfirmed says whether orders may be given: within confirmWindow, the store showed no
+// newer owner, or a quorum of the workers accepted the token and the store was not silent for
+// too long. The caller holds the lock.
 func (d *Drive) ownershipConfirmed(now time.Duration) bool {
-	if d.fenced {
-		return false
-	}
-	return now-d.ownedAt <= confirmWindow || d.confirmedByMajority(now)
+	return d.authority(now) != authorityNone
 }
 
-// confirmLoop confirms the ownership by the store while a majority of the workers does not
-// answer, so that those that do are served, until the drive closes.
+// confirmLoop confirms the ownership by the store while a quorum of the workers does not answer,
+// so that those that do are served, and else at times, until the drive closes.
 func (d *Drive) confirmLoop() {
 	for {
 		select {
@@ -131,20 +122,23 @@
 			// have ended. What fails is repeated, and logged once no orders can be given.
 			d.done.Go(func() { _ = d.confirmWithin(d.ctx, fenceReadTimeout) })
 		}
+		d.logAuthority()
 	}
 }
 
-// needsStore says whether the ownership is confirmed by the store only, or not at all, or
-// whether leases count as ended only once the store has confirmed it.
+// needsStore says whether the store has to confirm the ownership: the workers alone do not, have
+// done so for long, or leases count as ended only once it has.
 func (d *Drive) needsStore() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return !d.fenced && d.presentLinks() > 0 && (d.ownedAt <= d.lapseAt || !d.confirmedByMajority(d.config.BootTime()))
+	now := d.config.BootTime()
+	return !d.fenced && d.presentLinks() > 0 &&
+		(d.ownedAt <= d.lapseAt || now-d.ownedAt > d.storePeriod() || !d.confirmedByWorkers(now))
 }
 
 // confirmLoaded confirms the ownership after the journal was read late. The first renewals
 // would extend no lease otherwise, and the leases from the former owner would run out while
-// this one waits for a majority. Without an answer of the store it goes on.
+// this one waits for a quorum. Without an answer of the store it goes on.
 func (d *Drive) confirmLoaded() {
 	if d.config.BootTime()-d.config.Claim.ClaimedAt <= confirmWindow/2 {
 		return
@@ -163,16 +157,38 @@
 	d.unconfirmed = true
 	d.config.Log.WithFields(logrus.Fields{
 		"owned_ms": (now - d.config.Claim.ClaimedAt).Milliseconds(), "confirmed_before_ms": (now - d.ownedAt).Milliseconds(),
+		"accepted": d.acceptedSince(now - confirmWindow), "used": len(d.used),
 	}).Warn("renewals without a lease: ownership is not confirmed")
 }
 
+// logAuthority logs when the ownership begins or ceases to rest on the workers because the store
+// does not answer.
+func (d *Drive) logAuthority() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.config.BootTime()
+	detached := d.authority(now) == authorityWorkers && now-d.ownedAt > d.storePeriod()+confirmWindow
+	if detached == d.detached {
+		return
+	}
+	d.detached = detached
+	log := d.config.Log.WithFields(logrus.Fields{
+		"store_age_ms": (now - d.ownedAt).Milliseconds(), "accepted": d.acceptedSince(now - confirmWindow), "used": len(d.used), "authority": d.authority(now),
+	})
+	if detached {
+		log.Warn("ownership rests on the workers: the store does not answer")
+	} else {
+		log.Info("ownership no longer rests on the workers alone")
+	}
+}
+
 // handleFenced stops this owner after the reporter, a worker or the store, has told of a
 // newer one.
 func (d *Drive) handleFenced(reporter string) {
 	d.mu.Lock()
 	first, now := !d.fenced, d.config.BootTime()
 	log := d.config.Log.WithFields(logrus.Fields{
-		"reporter": reporter, "token": d.config.Claim.Token, "store_age_ms": (now - d.ownedAt).Milliseconds(),
+		"reporter": reporter, "token": d.config.Claim.Token, "authority": d.authority(now), "store_age_ms": (now - d.ownedAt).Milliseconds(),
 	})
 	d.fenced = true
 	d.mu.Unlock()
--- a/internal/process/drive/cut_test.go
+++ b/internal/process/drive/cut_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -70,8 +71,9 @@
 var splitTask = cairnbay.Resources{MilliCPU: 1000, MemoryMB: 100}
 
 // newSplitCluster starts an owner of workers that each run a task.
-func newSplitCluster(workers int) *splitCluster {
+func newSplitCluster(workers int, maxStoreSilence time.Duration) *splitCluster {
 	c := &splitCluster{cluster: newCluster(workers), size: splitTask}
+	c.maxStoreSilence = maxStoreSilence
 	c.listed = func() (entries []cairnbay.WorkerEntry) {
 		for _, id := range c.workers {
 			entries = append(entries, cairnbay.WorkerEntry{ID: id, Class: class, Address: id, Capacity: c.size})
@@ -108,6 +110,23 @@
 	c.outside.setCut(c.workers[:workers]...)
 }
 
+// lose ends the first owner, and the first workers with it.
+func (c *splitCluster) lose(workers int) {
+	c.former.Close()
+	for _, id := range c.workers[:workers] {
+		c.fleet.Cut(id, true)
+	}
+}
+
+// addWorkers adds workers outside that run nothing.
+func (c *splitCluster) addWorkers(count int) {
+	for range count {
+		id := fmt.Sprint("w", len(c.workers))
+		c.workers = append(c.workers, id)
+		c.fleet.Add(id, c.size)
+	}
+}
+
 // heal ends the cut.
 func (c *splitCluster) heal() {
 	c.store.SetCut("former", false)
@@ -118,7 +137,7 @@
 // Guards against tasks that run twice (TWICE): an owner that is cut off from the store, and that
 // most workers accept, counts the leases of the others as ended while its successor extends them.
 var _ = It("an owner that is cut off with most of its workers starts no task of the others again", func() {
-	c := newSplitCluster(5)
+	c := newSplitCluster(5, 0)
 	c.cutOff(4)
 	successor := c.startOwner()
 	DeferCleanup(successor.Close)
@@ -127,3 +146,47 @@
 	Eventually(successor.Counts, "5s").Should(HaveField("Running", 5))
 	Expect(c.fleet.Broken()).To(BeEmpty())
 })
+
+// Guards against tasks that stand still for good (LOST): a successor waited for a majority of the
+// workers in the journal, which it never had after the loss of half of them with their owner.
+var _ = DescribeTable("a successor starts the tasks again that it does not reach, once the former owner has certainly stopped",
+	func(total, workers int, part func(c *splitCluster, workers int), maxStoreSilence time.Duration) {
+		c := newSplitCluster(total, maxStoreSilence)
+		part(c, workers)
+		successor := c.startOwner()
+		DeferCleanup(successor.Close)
+		running := func() (tasks int) {
+			for _, id := range c.workers[workers:] {
+				tasks += len(c.fleet.Running(id))
+			}
+			return tasks
+		}
+		Eventually(running, "12s", "10ms").Should(Equal(total))
+		Expect(c.fleet.Broken()).To(BeEmpty())
+	},
+	Entry("after the loss of half of the workers with it", 8, 4, (*splitCluster).lose, time.Duration(0)),
+	Entry("after the loss of most workers with it", 9, 5, (*splitCluster).lose, time.Duration(0)),
+	Entry("after the loss of nearly all workers with it", 8, 7, (*splitCluster).lose, 3*time.Second),
+	Entry("when it is cut off with most workers", 9, 5, (*splitCluster).cutOff, time.Duration(0)),
+	Entry("when it is cut off with nearly all workers", 8, 7, (*splitCluster).cutOff, 3*time.Second),
+)
+
+// Guards against tasks that run twice (TWICE): workers that only a former successor has used do
+// not show that the owner before it has stopped.
+var _ = It("an owner that is cut off goes on with its workers while its second successor has many new ones", func() {
+	c := newSplitCluster(5, 0)
+	c.cutOff(4)
+	c.addWorkers(8)
+	successor := c.startOwner()
+	Eventually(successor.Counts, "5s").Should(HaveField("Usable", 9))
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	Expect(successor.Flush(ctx)).To(Succeed())
+	successor.Close()
+	second := c.startOwner()
+	DeferCleanup(second.Close)
+	Consistently(c.fleet.Broken, 4*c.lease, "50ms").Should(BeEmpty())
+	c.heal()
+	Eventually(second.Counts, "5s").Should(HaveField("Running", 5))
+	Expect(c.fleet.Broken()).To(BeEmpty())
+})
--- a/internal/process/drive/drive.go
+++ b/internal/process/drive/drive.go
@@ -4,6 +4,7 @@
 package drive
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"sync"
@@ -52,6 +53,10 @@
 	Lease time.Duration
 	// MaxLease is the longest lease that a worker accepts.
 	MaxLease time.Duration
+	// MaxStoreSilence is how long an owner that the store does not confirm may go on by its
+	// workers alone; 0 for DefaultMaxStoreSilence. Successors wait for as long if they reach too
+	// few workers, so that it must be the same for all owners.
+	MaxStoreSilence time.Duration
 	// Workspaces returns the terms of the workspaces at the start; later changes come with
 	// Edit. nil if the configuration has none. OnQuotaHeld is called after a plan that left
 	// work out because of its workspace's part, and must not block; nil for none.
@@ -121,8 +126,18 @@
 	// lapseAt is the latest boot time by which leases of silent workers have ended; they count
 	// as ended once the store has shown no newer owner after it.
 	lapseAt time.Duration
+	// detached says that the ownership rests on the workers since the store does not answer.
+	detached bool
+	// used are the workers that the journal may list as used, by worker ID, and formerWorkers
+	// those that it listed at the claim.
+	used          map[string]*usedWorker
+	formerWorkers []formerWorker
 	// formersExcluded says that no former owner can be confirmed by workers any more.
 	formersExcluded bool
+	// openedAt is the boot time at which the claim was known to be in the store.
+	openedAt time.Duration
+	// formerSilentBy is what shows formerSilentAt.
+	formerSilentBy silenceEvidence
 	// pendingCancels counts the cancellations being stored.
 	pendingCancels int
 	// compacting says that the journal is being rewritten, rewrittenBytes is the size
@@ -179,13 +194,14 @@
 func New(config Config) *Drive {
 	ctx, cancel := context.WithCancel(context.Background())
 	config.Log = config.Log.WithField("shard", config.Claim.Shard)
+	config.MaxStoreSilence = cmp.Or(config.MaxStoreSilence, DefaultMaxStoreSilence)
 	config.Sched.AttemptBase = int(config.Claim.Generation-1) * attemptsPerOwner
 	d := &Drive{
 		config: config, ctx: ctx, cancel: cancel, planDue: make(chan struct{}, 1), compactDue: make(chan struct{}, 1), confirmDue: make(chan struct{}, 1),
 		core: sched.New(config.Sched), links: make(map[string]*link), lineages: make(map[string]*lineage),
 		listed: make(map[string]cairnbay.WorkerEntry), pending: make(map[string]*pendingSubmission), recordsStored: make(chan struct{}),
 		inherited: make(map[string]inheritance), refusals: make(map[string]struct{}), replaced: make(map[string]replacedWorker), pacer: newPacer(), meters: newMeters(config.Metrics, config.Claim.Shard),
-		ownedAt: config.Claim.ClaimedAt,
+		ownedAt: config.Claim.ClaimedAt, formerSilentBy: evidenceAnswers, openedAt: config.BootTime(), used: make(map[string]*usedWorker),
 	}
 	d.shareMeters = newShareMeters(d.meters)
 	d.writer = record.New(record.Config{
@@ -404,49 +420,6 @@
 	d.openLink(entry, false)
 }
 
-// handleWorkerLoss counts the attempts of a worker as lost, once they can
-// certainly no longer run; the caller holds the lock.
-func (d *Drive) handleWorkerLoss(id, reason string, cause sched.LossCause) {
-	d.reportLoss(id, reason, d.core.HandleWorkerLoss(d.now(), id, cause))
-	d.resolveInherited(id)
-}
-
-// reportLoss logs and stores the loss of a worker; the caller holds the lock.
-func (d *Drive) reportLoss(id, reason string, loss sched.WorkerLoss) {
-	lost := loss.Lost
-	d.config.Log.WithFields(logrus.Fields{"worker": id, "reason": reason, "attempts": len(lost)}).Warn("worker lost")
-	for _, attempt := range lost {
-		d.config.Log.WithFields(logrus.Fields{
-			"job": attempt.Task.Job, "task": taskIndexes(attempt.Task), "attempt": attempt.Attempt, "worker": id,
-			"ran_at_least_ms": attempt.RanAtLeast.Milliseconds(),
-		}).Info("attempt lost")
-	}
-	d.meters.workerLost(reason, len(lost))
-	d.logGivenUp()
-	if len(loss.Records) > 0 {
-		d.writer.Append(encodeRecords(loss.Records), func(err error) {
-			if err != nil {
-				return
-			}
-			d.mu.Lock()
-			defer d.mu.Unlock()
-			d.handleStored(loss.Records)
-		})
-	}
-	d.requestPlan()
-}
-
-// logGivenUp logs the jobs that were given up because of crashed workers; the caller
-// holds the lock.
-func (d *Drive) logGivenUp() {
-	for _, given := range d.core.TakeGivenUp() {
-		d.meters.jobGivenUp()
-		d.config.Log.WithFields(logrus.Fields{
-			"job": given.Task.Job, "task": taskIndexes(given.Task), "workers": given.Workers, "crashes": len(given.Workers),
-		}).Warn("job given up: a task crashes its workers")
-	}
-}
-
 // handleStored passes records that are in the store to the core and wakes the calls
 // that wait for them; the caller holds the lock.
 func (d *Drive) handleStored(records []sched.Record) {
@@ -482,6 +455,9 @@
 	}
 	d.countStarts(actions)
 	d.observeHeldStarts(now.BootTime)
+	if ticked {
+		d.meters.tasksHeldBack(d.core.RecoveryWaiting())
+	}
 	quotaHeld := d.core.QuotaHeld()
 	d.shareMeters.update(now.BootTime, d.core)
 	d.mu.Unlock()
--- a/internal/process/drive/drive_test.go
+++ b/internal/process/drive/drive_test.go
@@ -55,6 +55,8 @@
 	agent cairnbay.Agent
 	// caller is the store as owners call it; nil for the store itself.
 	caller cairnbay.BatchStore
+	// maxStoreSilence is how long owners go on without the store; 0 for the default.
+	maxStoreSilence time.Duration
 	// maxSegments and maxGrowth are the number of segments and the bytes of growth
 	// from which owners rewrite the journal.
 	maxSegments, maxGrowth int
@@ -111,7 +113,7 @@
 		Claim: tenure.Claim{Shard: class, Token: uint64(revision), Generation: c.generation, Fence: c.fence, ClaimedAt: timer.Boot(), AfterRestart: c.afterRestart},
 		Store: cmp.Or[cairnbay.BatchStore](c.caller, c.store), Agent: cmp.Or[cairnbay.Agent](c.agent, c.fleet), Clock: c.clock, BootTime: timer.Boot, Log: c.log, Lease: c.lease, MaxLease: maxWorkerLease,
 		AdviceLimits: func() (int, int) { return 4, 4 }, Advise: c.advise,
-		MaxSegments: c.maxSegments, MaxGrowth: c.maxGrowth, Metrics: c.metrics, OnFenced: func() {},
+		MaxStoreSilence: c.maxStoreSilence, MaxSegments: c.maxSegments, MaxGrowth: c.maxGrowth, Metrics: c.metrics, OnFenced: func() {},
 		Sched: sched.Config{Retention: time.Minute, StopTime: 50 * time.Millisecond, Learn: c.learn},
 	})
 	owner.SetWorkers(c.entries())
--- a/internal/process/drive/inherited.go
+++ b/internal/process/drive/inherited.go
@@ -26,6 +26,9 @@
 	confined := ref.GetConfined() && d.core.Assume(now, entry.ID, decodePlaced(ref))
 	d.inherited[entry.ID] = inheritance{confined}
 	l := d.openLink(entry, true)
+	l.used = &usedWorker{since: ref.GetUsedSince(), certain: true}
+	d.used[entry.ID] = l.used
+	d.formerWorkers = append(d.formerWorkers, formerWorker{entry.ID, ref.GetUsedSince()})
 	l.confined, l.longLease = confined, ref.GetLongLease()
 	if !ref.GetConfined() {
 		l.unanswered, l.unansweredAt = decodePlaced(ref), now.BootTime
@@ -61,7 +64,7 @@
 	incompleteGangs := d.core.EndRecovery()
 	d.config.Log.WithFields(logrus.Fields{
 		"took_ms": (d.config.BootTime() - d.config.Claim.ClaimedAt).Milliseconds(), "incomplete_gangs": incompleteGangs,
-		"unanswered": len(d.inherited),
+		"unanswered": len(d.inherited), "evidence": d.formerSilentBy,
 	}).Info("former owner settled")
 }
 
@@ -76,7 +79,7 @@
 		return
 	}
 	if d.formerSilentAt == 0 {
-		d.formerSilentAt = d.formerSilence(now)
+		d.formerSilentAt, d.formerSilentBy = d.formerSilence(now)
 		return
 	}
 	for id := range d.inherited {
@@ -88,7 +91,7 @@
 		if l != nil {
 			d.config.Log.WithFields(logrus.Fields{
 				"worker": id, "silent_ms": (now - d.config.Claim.ClaimedAt).Milliseconds(), "granted": false, "long": l.mayHoldLongest(),
-				"store_age_ms": (now - d.ownedAt).Milliseconds(), "accepted": d.acceptedSince(d.inheritedLeaseEndsBy(l)),
+				"store_age_ms": (now - d.ownedAt).Milliseconds(), "accepted": d.acceptedSince(d.inheritedLeaseEndsBy(l)), "used": len(d.used),
 			}).Info("lease ended")
 			l.lapsed = l.lapsed || l.superseded
 			d.journalRelease(l)
@@ -118,18 +121,30 @@
 	return len(d.unansweredOn(l)) > 0
 }
 
+// silenceEvidence is what shows that no former owner extends leases.
+type silenceEvidence string
+
+const (
+	// evidenceAnswers: every worker that may run their tasks has answered.
+	evidenceAnswers silenceEvidence = "answers"
+	evidenceRestart silenceEvidence = "restart"
+	evidenceWorkers silenceEvidence = "workers"
+	evidenceStore   silenceEvidence = "store_silence"
+)
+
 // formerSilence returns the boot time from which no former owner extends leases, 0 while it
-// is not known; the caller holds the lock.
-func (d *Drive) formerSilence(now time.Duration) time.Duration {
+// is not known, and what shows it; the caller holds the lock.
+func (d *Drive) formerSilence(now time.Duration) (time.Duration, silenceEvidence) {
 	switch {
 	case d.onlyOwnFormer():
-		// Only the former process of this instance could extend them.
-		return d.config.Claim.ClaimedAt
-	case d.confirmedByMajority(now):
-		// The former owner stops confirmWindow after it lost the majority of the workers.
-		return now + confirmWindow
+		return d.config.Claim.ClaimedAt, evidenceRestart
+	case d.excludesFormerQuorums():
+		// A former owner stops confirmWindow after its last quorum.
+		return now + confirmWindow, evidenceWorkers
+	case now >= d.detachedUntil():
+		return d.detachedUntil(), evidenceStore
 	}
-	return 0
+	return 0, evidenceAnswers
 }
 
 // journalSettled records, for the next owner, that no owner before this one can
--- a/internal/process/drive/lineage.go
+++ b/internal/process/drive/lineage.go
@@ -250,10 +250,10 @@
 
 // endFormer counts the attempts of the former runs as lost, after the current one has
 // answered, unless it lists them itself: it may have carried out orders meant for them.
-// It returns the IDs of these runs and the records of their release. After a truncated
+// It returns the IDs of these runs and their releases. After a truncated
 // state, the attempts that it does not list stay with the former runs. The caller holds
 // the lock.
-func (d *Drive) endFormer(l *link, state cairnbay.AgentState) (ended []string, released []*cairnbayv1.WorkRecord) {
+func (d *Drive) endFormer(l *link, state cairnbay.AgentState) (ended []string, released []release) {
 	if state.EndsTruncated {
 		for _, former := range l.lineage.former {
 			d.core.HandOver(former.entry.ID, state)
@@ -269,9 +269,9 @@
 			}).Warn("worker restarted")
 		}
 		d.reportLoss(id, "restarted", d.core.HandleRestart(d.now(), id, former.lossCause(), state))
-		if former.journaled {
+		if former.journaled || former.used != nil {
 			former.journaled = false
-			released = append(released, &cairnbayv1.WorkRecord{Released: id})
+			released = append(released, d.release(former))
 		}
 		former.dropped = true
 		l.lineage.end(id)
--- a/internal/process/drive/link.go
+++ b/internal/process/drive/link.go
@@ -27,8 +27,11 @@
 	unlisted bool
 	// journaled says that the journal lists the worker as used, so that the next
 	// owner assumes that tasks run there until the worker answers it; unconfining that the
-	// record by which a confined worker takes tasks again is not stored yet.
-	journaled, unconfining bool
+	// record by which a confined worker takes tasks again is not stored yet; journaling that a
+	// record is being stored after which the worker is journaled.
+	journaled, unconfining, journaling bool
+	// used is the worker's entry among those that the journal may list, nil if it lists none.
+	used *usedWorker
 	// releases counts the records by which the worker is no longer used.
 	releases int
 	// clock is the worker's clock in its last answer, and answeredAt the boot time
@@ -217,7 +220,7 @@
 	} else {
 		d.logUnconfirmed(sent)
 	}
-	if confirmed && l.doubtedAt == 0 && d.mayExtend(l) && (l.failures == 0 || sent-l.answeredAt <= maxRenewSilence && !d.leaving(l)) {
+	if confirmed && l.doubtedAt == 0 && d.mayExtend(l, sent) && (l.failures == 0 || sent-l.answeredAt <= maxRenewSilence && !d.leaving(l)) {
 		order.LeaseEnd = l.grantLease(sent, d.config.Lease)
 	}
 	if l.answeredAt == 0 || l.failures > 0 {
@@ -294,18 +297,6 @@
 	return renewRetryPause, true
 }
 
-// journalRelease records that nothing runs on a worker, so that the next owner
-// does not wait for it. The worker is journaled again before it gets tasks again.
-// The caller holds the lock.
-func (d *Drive) journalRelease(l *link) {
-	if !l.journaled {
-		return
-	}
-	l.journaled, l.unconfining = false, false
-	l.releases++
-	d.writer.Append([]*cairnbayv1.WorkRecord{{Released: l.entry.ID}}, d.logStoreFailure("worker release"))
-}
-
 // logStoreFailure returns a callback that logs the error of a record that was not
 // stored.
 func (d *Drive) logStoreFailure(record string) func(error) {
@@ -370,7 +361,7 @@
 	}
 	var used []*cairnbayv1.WorkRecord
 	if unjournaled && !l.dropped {
-		l.confined = false
+		l.confined, l.journaling = false, true
 		used = append(used, d.workerRecord(l))
 	}
 	d.confine(l)
@@ -383,14 +374,16 @@
 	d.logEnds(l, result)
 	records := append(encodeRecords(result.Records), used...)
 	// The next owner must know of the current run before it forgets the former ones.
-	records = append(records, released...)
+	for _, former := range released {
+		records = append(records, former.record)
+	}
 	if len(result.Ends) > 0 || unjournaled {
 		d.requestPlan()
 	}
 	if result.LastSequence <= l.lastAcked(d) && len(records) == 0 {
 		return pause
 	}
-	return max(pause, d.acknowledge(l, records, result, len(used) > 0))
+	return max(pause, d.acknowledge(l, records, result, len(used) > 0, released))
 }
 
 // worksElsewhere says whether a run that is still not listed belongs to another class, or
@@ -408,7 +401,7 @@
 	case l.dropped:
 		if next := d.findLink(l.entry.ID); next != nil {
 			// The same run is used again: its new link releases it.
-			next.journaled = true
+			next.journaled, next.used = true, l.used
 			if next.answeredAt > 0 && next.failures == 0 {
 				d.handleJournaled(next)
 			}
@@ -428,9 +421,11 @@
 }
 
 // acknowledge stores records, after which the next renewal acknowledges their
-// ends to the worker. used says that one of the records lists the worker as used. It returns
-// the pause before that renewal.
-func (d *Drive) acknowledge(l *link, records []*cairnbayv1.WorkRecord, result sched.HoldResult, used bool) time.Duration {
+// ends to the worker. used says that one of the records lists the worker as used; others may
+// release former runs. It returns the pause before that renewal.
+func (d *Drive) acknowledge(
+	l *link, records []*cairnbayv1.WorkRecord, result sched.HoldResult, used bool, released []release,
+) time.Duration {
 	stored := make(chan struct{})
 	ends := &storingEnds{lastSequence: result.LastSequence}
 	d.mu.Lock()
@@ -443,10 +438,15 @@
 			return
 		}
 		d.mu.Lock()
+		l.journaling = l.journaling && !used
 		if used && (!l.journaled || l.unconfining) && l.releases == releases {
 			l.journaled, l.unconfining = true, false
+			d.markListed(l)
 			d.handleJournaled(l)
 		}
+		for _, former := range released {
+			former.stored()
+		}
 		ends.stored = true
 		l.endsStored()
 		d.handleStored(result.Records)
--- a/internal/process/drive/meters.go
+++ b/internal/process/drive/meters.go
@@ -114,6 +114,11 @@
 	}
 }
 
+// tasksHeldBack reports the tasks that wait until a former owner is settled.
+func (m meters) tasksHeldBack(tasks int) {
+	m.set.GetOrCreateGauge(fmt.Sprintf("cairnbay_tasks_waiting_for_former_owner{shard=%q}", m.shard), nil).Set(float64(tasks))
+}
+
 // stepsWaiting reports the steps that wait for the policy service.
 func (m meters) stepsWaiting(byReason map[sched.AdviceWaitReason]int) {
 	for _, reason := range []sched.AdviceWaitReason{
--- a/internal/process/drive/orders.go
+++ b/internal/process/drive/orders.go
@@ -51,7 +51,7 @@
 		return delivery{}, cairnbay.ErrInvalidTicket
 	}
 	sending, ok := d.prepareOrder(action.Target.Worker)
-	if !ok || !d.mayExtend(sending.link) {
+	if !ok || !d.mayExtend(sending.link, sending.sent) {
 		return delivery{}, cairnbay.ErrOverloaded
 	}
 	sending.leaseEnd = sending.link.grantLease(sending.sent, d.config.Lease)
--- a/internal/process/drive/replaced_test.go
+++ b/internal/process/drive/replaced_test.go
@@ -96,17 +96,19 @@
 
 // Guards against jobs that wait beside free workers, and leases that run out, while an owner
 // that the store shows does not reach half of its workers.
-var _ = DescribeTable("an owner that does not reach half of its workers", func(downTime time.Duration, starts int) {
+var _ = DescribeTable("an owner that does not reach half of its workers", func(cutTime, downTime time.Duration, starts int) {
 	c := newCluster(2)
+	c.maxStoreSilence = 3 * time.Second
 	owner := c.startOwner()
 	DeferCleanup(owner.Close)
 	c.accept(owner, "before")
 	Eventually(jobState(owner, "before"), "10s").Should(Equal(cairnbay.WorkflowCompleted))
 	c.runTime.Store(int64(time.Minute))
 	c.fleet.Cut("w0", true)
-	time.Sleep(4 * time.Second)
-	Expect(submit(owner, flatJob("j", 1), time.Second)).To(Equal(accepted))
+	time.Sleep(cutTime)
 	before := c.fleet.Starts()
+	Expect(submit(owner, flatJob("j", 1), time.Second)).To(Equal(accepted))
+	Eventually(func() []cairnbay.WorkflowTask { return c.fleet.Running("w1") }, "1s", "5ms").Should(HaveLen(1))
 	c.store.SetDown(downTime > 0)
 	time.Sleep(downTime)
 	if starts == 0 {
@@ -116,8 +118,9 @@
 	Eventually(c.fleet.Starts, "3s", "10ms").Should(Equal(before + starts))
 	Consistently(func() []cairnbay.WorkflowTask { return c.fleet.Running("w1") }, "3s").Should(HaveLen(starts))
 },
-	Entry("goes on with the others while the store shows it as the owner", time.Duration(0), 1),
-	Entry("extends no lease once the store does not answer", 4*time.Second, 0),
+	Entry("goes on with the others while the store shows it as the owner", 4*time.Second, time.Duration(0), 1),
+	Entry("extends no lease once the store does not answer", 400*time.Millisecond, 4*time.Second, 0),
+	Entry("extends no lease once the store has not answered for long, though the journal lists the others only", 4*time.Second, 4*time.Second, 0),
 )
 
 // Guards against tasks that a replaced owner starts on workers that its successor does not
--- a/internal/process/sched/sched.go
+++ b/internal/process/sched/sched.go
@@ -170,6 +170,19 @@
 	c.blockInherited = true
 }
 
+// RecoveryWaiting returns the number of tasks that BeginRecovery holds back.
+func (c *Core) RecoveryWaiting() (tasks int) {
+	if !c.blockInherited {
+		return 0
+	}
+	for stage := range c.readyStages {
+		if stage.job.inherited {
+			tasks += stage.waiting
+		}
+	}
+	return tasks
+}
+
 // EndRecovery unblocks inherited jobs. Every worker that a former owner used
 // has answered by now, or its lease has certainly ended. So the members of a gang
 // that are not known to run never started or have ended: EndRecovery stops the
