--- a/internal/tool/soak/callers.go
+++ b/internal/tool/soak/callers.go
@@ -116,7 +116,7 @@
 	if c.world.config.Recuts {
 		count = recutCallers
 	}
-	if c.world.config.Outages > 0 {
+	if c.world.config.holdsJobs() {
 		count = outageCallers
 		c.startHeld(ctx)
 	}
@@ -148,7 +148,7 @@
 					c.submit(ctx, random, one)
 					continue
 				}
-				if c.world.config.Outages > 0 {
+				if c.world.config.holdsJobs() {
 					one.steps, one.tasks = 1, 1
 					c.submit(ctx, random, one)
 					continue
@@ -218,7 +218,7 @@
 	if w.config.Pauses {
 		fmt.Fprintf(w.config.Out, "pauses: %d jobs asked for at paused owners\n", c.askedPaused.Load())
 	}
-	if w.config.Outages > 0 {
+	if w.config.holdsJobs() {
 		c.waits.summarise()
 	}
 	if w.config.Impatient {
--- a/internal/tool/soak/faults.go
+++ b/internal/tool/soak/faults.go
@@ -51,9 +51,13 @@
 	for w.config.Recuts && ctx.Err() == nil && time.Now().Before(deadline) {
 		fmt.Fprintf(w.config.Out, "%6.2f s  %s\n", time.Since(began).Seconds(), recut(ctx, w, random))
 	}
-	if w.config.Outages > 0 {
+	if w.config.holdsJobs() {
 		sleep(ctx, fillTime)
 	}
+	for w.config.Losses && ctx.Err() == nil && time.Now().Before(deadline) {
+		at := time.Since(began).Seconds()
+		fmt.Fprintf(w.config.Out, "%6.2f s  %s\n", at, loseOwner(ctx, w, random))
+	}
 	for w.config.Outages > 0 && ctx.Err() == nil && time.Now().Before(deadline) {
 		at := time.Since(began).Seconds()
 		fmt.Fprintf(w.config.Out, "%6.2f s  %s\n", at, outage(ctx, w, random))
--- a/internal/tool/soak/keys.go
+++ b/internal/tool/soak/keys.go
@@ -75,7 +75,7 @@
 // instances do not reach the store, and must follow all the same. Every workspace has a
 // key at the end.
 func (w *world) rotateInCalm(ctx context.Context, random *rand.Rand) {
-	if w.book == nil || w.config.Outages > 0 {
+	if w.book == nil || w.config.holdsJobs() {
 		return
 	}
 	w.calmSince.Store(int64(timer.Boot()))
--- a/internal/tool/soak/outages.go
+++ b/internal/tool/soak/outages.go
@@ -21,7 +21,9 @@
 	// has more than its share of the class also without what an outage ends; then the second
 	// one takes the rest of the room but spareTasks.
 	heldEighths, heldMost = 7, 4
-	spareTasks            = 4
+	// sparseEighths is the same with losses, so that the tasks of lost workers have room.
+	sparseEighths = 2
+	spareTasks    = 4
 	// heldPause is the time between the submissions of two held jobs, and fillTime how long
 	// they have to start before the first outage.
 	heldPause = 50 * time.Millisecond
@@ -73,6 +75,9 @@
 func (c *callers) startHeld(ctx context.Context) {
 	room := len(c.world.toWorker) * c.world.slots()
 	first := room * heldEighths / 8
+	if c.world.config.Losses {
+		first = room * sparseEighths / 8
+	}
 	total := first
 	if c.world.book != nil {
 		total = max(first, room-spareTasks)
--- a/internal/tool/soak/policy.go
+++ b/internal/tool/soak/policy.go
@@ -61,15 +61,15 @@
 	return err == nil && w.permitted(step)[number]
 }
 
-// permitted returns the numbers of the workers that may run a step. With outages it is half of
-// the workers, so that a task that waits seldom does so for room on them.
+// permitted returns the numbers of the workers that may run a step. Beside held jobs it is half
+// of the workers, so that a task that waits seldom does so for room on them.
 func (w *world) permitted(step cairnbay.WorkflowTask) map[int]bool {
 	name := fmt.Sprint(w.config.Seed, step.Job, step.Occurrence, step.Step)
 	random := rand.New(rand.NewPCG(xxhash.Sum64String(name), policySteps))
 	chosen, left := make(map[int]bool), make([]int, w.config.Shards)
 	for shard := range left {
 		left[shard] = leastPermitted + random.IntN(3)
-		if w.config.Outages > 0 {
+		if w.config.holdsJobs() {
 			left[shard] = max(left[shard], w.config.Workers/w.config.Shards/2)
 		}
 	}
--- a/internal/tool/soak/soak.go
+++ b/internal/tool/soak/soak.go
@@ -50,6 +50,9 @@
 	// names at one instant, again and again, while jobs whose tasks last hold most of the
 	// room; 0 for none. There are no other faults.
 	Outages int
+	// Losses says that the only faults are owners that are killed at one instant with half of
+	// the workers or more, which never come back, while jobs whose tasks last go on.
+	Losses bool
 	// Tickets says that the only faults are instances that pause and answers of the policy
 	// service that are late by more than their tickets last.
 	Tickets bool
@@ -73,6 +76,11 @@
 	return c.Pauses || c.Impatient
 }
 
+// holdsJobs reports whether jobs whose tasks last are kept during the whole run.
+func (c *Config) holdsJobs() bool {
+	return c.Outages > 0 || c.Losses
+}
+
 // ErrBroken says that a promise was broken.
 const ErrBroken = errors.ConstError("a promise was broken")
 
@@ -101,6 +109,7 @@
 			flags.BoolVar(&config.Impatient, "impatient", config.Impatient, "pause any instances in turn, briefly, while callers cancel every job, also one that had no answer")
 			flags.BoolVar(&config.Recuts, "recuts", config.Recuts, "restart workers under their names and cut them off soon after, while the owner is disrupted, with no other faults")
 			flags.IntVar(&config.Outages, "outages", config.Outages, "data centres, of three, whose workers restart at one instant while long-running tasks hold most of the room, with no other faults; 0 for none")
+			flags.BoolVar(&config.Losses, "losses", config.Losses, "kill the owner together with half of the workers or more, which never come back, with no other faults")
 			flags.BoolVar(&config.Tickets, "tickets", config.Tickets, "pause instances and let answers of the policy service be late by more than their tickets last, with no other faults")
 			flags.IntVar(&config.FirstPort, "port", config.FirstPort, "first `port` of the instances, on loopback")
 			flags.StringVar(&config.Program, "program", "", "`path` of the program under test (default: this one)")
@@ -133,6 +142,9 @@
 				if config.Outages > 0 && (config.Recuts || config.Tickets || config.Quota > 0 || config.pausesOnly()) {
 					return errors.Annotate(shell.ErrUsage, "-outages excludes -recuts, -quota, -pauses, -impatient and -tickets")
 				}
+				if config.Losses && (config.Outages > 0 || config.Recuts || config.Tickets || config.Quota > 0 || config.pausesOnly()) {
+					return errors.Annotate(shell.ErrUsage, "-losses excludes -outages, -recuts, -quota, -pauses, -impatient and -tickets")
+				}
 				if config.Program == "" {
 					program, err := os.Executable()
 					if err != nil {
--- a/internal/tool/soak/soak_test.go
+++ b/internal/tool/soak/soak_test.go
@@ -54,6 +54,11 @@
 		Entry("data centres whose workers restart at once", 4*time.Second, func(config *soak.Config) {
 			config.Seed, config.Workers, config.Outages, config.Workspaces = 9104, 24, 1, 2
 		}),
+		// Guards against tasks that stand still for good, since the next owner waits for a
+		// majority of workers that it never has.
+		Entry("owners that are lost with half of the workers or more", 5*time.Second, func(config *soak.Config) {
+			config.Workers, config.Losses = 16, true
+		}),
 	)
 
 	// Seeds that failed once stay here, each with its cause.
