--- a/internal/process/drive/confirm.go
+++ b/internal/process/drive/confirm.go
@@ -157,7 +157,7 @@
 	d.unconfirmed = true
 	d.config.Log.WithFields(logrus.Fields{
 		"owned_ms": (now - d.config.Claim.ClaimedAt).Milliseconds(), "confirmed_before_ms": (now - d.ownedAt).Milliseconds(),
-		"accepted": d.acceptedSince(now - confirmWindow), "used": len(d.used),
+		"accepted": d.acceptedSince(now - confirmWindow), "used": len(d.usedNames),
 	}).Warn("renewals without a lease: ownership is not confirmed")
 }
 
@@ -173,7 +173,7 @@
 	}
 	d.detached = detached
 	log := d.config.Log.WithFields(logrus.Fields{
-		"store_age_ms": (now - d.ownedAt).Milliseconds(), "accepted": d.acceptedSince(now - confirmWindow), "used": len(d.used), "authority": d.authority(now),
+		"store_age_ms": (now - d.ownedAt).Milliseconds(), "accepted": d.acceptedSince(now - confirmWindow), "used": len(d.usedNames), "authority": d.authority(now),
 	})
 	if detached {
 		log.Warn("ownership rests on the workers: the store does not answer")
--- a/internal/process/drive/drive.go
+++ b/internal/process/drive/drive.go
@@ -128,10 +128,12 @@
 	lapseAt time.Duration
 	// detached says that the ownership rests on the workers since the store does not answer.
 	detached bool
-	// used are the workers that the journal may list as used, by worker ID, and formerWorkers
-	// those that it listed at the claim.
+	// used are the workers that the journal may list as used, by worker ID, usedNames how many of
+	// them have a name, and formerWorkers those that it listed at the claim, formerNames by name.
 	used          map[string]*usedWorker
-	formerWorkers []formerWorker
+	usedNames     map[string]int
+	formerWorkers []*formerWorker
+	formerNames   map[string]*formerWorker
 	// formersExcluded says that no former owner can be confirmed by workers any more.
 	formersExcluded bool
 	// openedAt is the boot time at which the claim was known to be in the store.
@@ -201,7 +203,7 @@
 		core: sched.New(config.Sched), links: make(map[string]*link), lineages: make(map[string]*lineage),
 		listed: make(map[string]cairnbay.WorkerEntry), pending: make(map[string]*pendingSubmission), recordsStored: make(chan struct{}),
 		inherited: make(map[string]inheritance), refusals: make(map[string]struct{}), replaced: make(map[string]replacedWorker), pacer: newPacer(), meters: newMeters(config.Metrics, config.Claim.Shard),
-		ownedAt: config.Claim.ClaimedAt, formerSilentBy: evidenceAnswers, openedAt: config.BootTime(), used: make(map[string]*usedWorker),
+		ownedAt: config.Claim.ClaimedAt, formerSilentBy: evidenceAnswers, openedAt: config.BootTime(), used: make(map[string]*usedWorker), usedNames: make(map[string]int), formerNames: make(map[string]*formerWorker),
 	}
 	d.shareMeters = newShareMeters(d.meters)
 	d.writer = record.New(record.Config{
--- a/internal/process/drive/inherited.go
+++ b/internal/process/drive/inherited.go
@@ -27,8 +27,8 @@
 	d.inherited[entry.ID] = inheritance{confined}
 	l := d.openLink(entry, true)
 	l.used = &usedWorker{since: ref.GetUsedSince(), certain: true}
-	d.used[entry.ID] = l.used
-	d.formerWorkers = append(d.formerWorkers, formerWorker{entry.ID, ref.GetUsedSince()})
+	d.addUsed(entry.ID, l.used)
+	d.addFormer(l)
 	l.confined, l.longLease = confined, ref.GetLongLease()
 	if !ref.GetConfined() {
 		l.unanswered, l.unansweredAt = decodePlaced(ref), now.BootTime
@@ -91,7 +91,7 @@
 		if l != nil {
 			d.config.Log.WithFields(logrus.Fields{
 				"worker": id, "silent_ms": (now - d.config.Claim.ClaimedAt).Milliseconds(), "granted": false, "long": l.mayHoldLongest(),
-				"store_age_ms": (now - d.ownedAt).Milliseconds(), "accepted": d.acceptedSince(d.inheritedLeaseEndsBy(l)), "used": len(d.used),
+				"store_age_ms": (now - d.ownedAt).Milliseconds(), "accepted": d.acceptedSince(d.inheritedLeaseEndsBy(l)), "used": len(d.usedNames),
 			}).Info("lease ended")
 			l.lapsed = l.lapsed || l.superseded
 			d.journalRelease(l)
--- a/internal/process/drive/leases.go
+++ b/internal/process/drive/leases.go
@@ -157,7 +157,7 @@
 	d.config.Log.WithFields(logrus.Fields{
 		"worker": l.entry.ID, "silent_ms": (now - l.answeredAt).Milliseconds(), "granted": l.grantedAt > 0,
 		"long": l.longLease || l.usualLapsed, "unanswered": len(kept), "store_age_ms": (now - d.ownedAt).Milliseconds(),
-		"accepted": d.acceptedSince(l.leaseEndsBy()), "used": len(d.used),
+		"accepted": d.acceptedSince(l.leaseEndsBy()), "used": len(d.usedNames),
 	}).Info("lease ended")
 	if !l.lapsed {
 		l.usualLapsed = true
--- a/internal/process/drive/quorum.go
+++ b/internal/process/drive/quorum.go
@@ -53,12 +53,29 @@
 	entry := d.used[l.entry.ID]
 	if entry == nil || entry.releasing {
 		entry = &usedWorker{since: d.config.Claim.Generation}
-		d.used[l.entry.ID] = entry
+		d.addUsed(l.entry.ID, entry)
 	}
 	l.used = entry
 	return entry
 }
 
+// addUsed adds the entry of a worker, or replaces it; the caller holds the lock.
+func (d *Drive) addUsed(id string, entry *usedWorker) {
+	if d.used[id] == nil {
+		d.usedNames[cairnbay.WorkerName(id)]++
+	}
+	d.used[id] = entry
+}
+
+// removeUsed removes the entry of a worker; the caller holds the lock.
+func (d *Drive) removeUsed(id string) {
+	name := cairnbay.WorkerName(id)
+	delete(d.used, id)
+	if d.usedNames[name]--; d.usedNames[name] == 0 {
+		delete(d.usedNames, name)
+	}
+}
+
 // markListed notes that the record of a used worker is stored; the caller holds the lock.
 func (d *Drive) markListed(l *link) {
 	if l.used != nil {
@@ -81,8 +98,8 @@
 	}
 	l.used = nil
 	return release{&cairnbayv1.WorkRecord{Released: id}, func() {
-		if d.used[id] == entry {
-			delete(d.used, id)
+		if entry != nil && d.used[id] == entry {
+			d.removeUsed(id)
 		}
 	}}
 }
@@ -119,9 +136,10 @@
 	return count
 }
 
-// isQuorum says whether so many workers confirm an owner; the caller holds the lock.
+// isQuorum says whether so many workers confirm an owner. The runs of one worker's process count
+// once: several may be listed while the store is away. The caller holds the lock.
 func (d *Drive) isQuorum(accepted int) bool {
-	return accepted > 0 && float64(accepted) >= quorumShare*float64(len(d.used))
+	return accepted > 0 && float64(accepted) >= quorumShare*float64(len(d.usedNames))
 }
 
 // confirmedByWorkers says whether a quorum accepted the token within confirmWindow; the caller
@@ -144,20 +162,33 @@
 	}
 }
 
-// formerWorker is a worker that the journal listed at the claim.
+// formerWorker is the runs of a worker's process that the journal listed at the claim.
 type formerWorker struct {
-	id    string
+	links []*link
+	// since is the generation of the owner from which on the journal listed the first of them.
 	since uint64
 }
 
-// isUnaccounted says whether a former owner may still be accepted by a worker: it has not
-// answered this owner and is not known to have ended. The caller holds the lock.
-func (d *Drive) isUnaccounted(id string) bool {
-	if _, inherited := d.inherited[id]; !inherited {
+// addFormer adds a run that the journal listed; the caller holds the lock.
+func (d *Drive) addFormer(l *link) {
+	name := cairnbay.WorkerName(l.entry.ID)
+	known := d.formerNames[name]
+	if known == nil {
+		known = &formerWorker{since: l.used.since}
+		d.formerNames[name] = known
+		d.formerWorkers = append(d.formerWorkers, known)
+	}
+	known.links, known.since = append(known.links, l), min(known.since, l.used.since)
+}
+
+// isUnaccounted says whether a former owner may still be accepted by an inherited run: it has
+// not answered this owner and is not known to have ended. The caller holds the lock.
+func (d *Drive) isUnaccounted(l *link) bool {
+	if l.answeredAt > 0 {
 		return false
 	}
-	l := d.findLink(id)
-	return l == nil || l.answeredAt == 0
+	_, inherited := d.inherited[l.entry.ID]
+	return inherited
 }
 
 // updateFormerRuns notes, from an answer to a renewal, whether a worker runs what former owners
@@ -193,10 +224,10 @@
 // those listed only since may all accept this owner without an effect on it. The caller holds
 // the lock.
 func (d *Drive) excludesFormerQuorums() bool {
-	slices.SortFunc(d.formerWorkers, func(a, b formerWorker) int { return cmp.Compare(a.since, b.since) })
+	slices.SortFunc(d.formerWorkers, func(a, b *formerWorker) int { return cmp.Compare(a.since, b.since) })
 	unaccounted := 0
 	for i, worker := range d.formerWorkers {
-		if d.isUnaccounted(worker.id) {
+		if slices.ContainsFunc(worker.links, d.isUnaccounted) {
 			unaccounted++
 		}
 		if i+1 < len(d.formerWorkers) && d.formerWorkers[i+1].since <= max(worker.since, d.settled) {
