--- a/internal/process/drive/confirm.go
+++ b/internal/process/drive/confirm.go
@@ -126,14 +126,15 @@
 	}
 }
 
-// needsStore says whether the store has to confirm the ownership: the workers alone do not, have
-// done so for long, or leases count as ended only once it has.
+// needsStore says whether the store has to confirm the ownership: the workers alone soon will not,
+// have done so for long, or leases count as ended only once it has.
 func (d *Drive) needsStore() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.config.BootTime()
-	return !d.fenced && d.presentLinks() > 0 &&
-		(d.ownedAt <= d.lapseAt || now-d.ownedAt > d.storePeriod() || !d.confirmedByWorkers(now))
+	// Half of the window leaves time for the read before the workers no longer confirm it.
+	confirmed := d.isQuorum(d.acceptedSince(now - confirmWindow/2))
+	return !d.fenced && d.presentLinks() > 0 && (d.ownedAt <= d.lapseAt || now-d.ownedAt > d.storePeriod() || !confirmed)
 }
 
 // confirmLoaded confirms the ownership after the journal was read late. The first renewals
