drive: specs of a worker in another class sever it and list it before its next run is known

Cause, from the logs of the failures: the stand-in restarted the worker first and listed it in the other class afterwards. A renewal of the former owner that reached the next run in between raised its token above that of the other owner, or the list showed the next run in its former class, where its tasks are rightly stopped.

Change: the former owner is severed from the worker until the other owner has started its task, and the restart and the change of class are one step. What the specs expect is unchanged.

--- a/internal/process/drive/relisted_test.go
+++ b/internal/process/drive/relisted_test.go
@@ -268,10 +268,14 @@
 
 // runElsewhere restarts a worker in another class, where its owner starts a task.
 func (c *restartCluster) runElsewhere(name string, ran time.Duration) {
+	severed := &severedAgent{Agent: c.agent, worker: name}
+	c.agent = severed
+	c.replaceOwner()
 	c.awaitUsable()
 	c.runTime.Store(int64(ran))
-	c.fleet.Restart(name, 0, restartSize)
-	c.listElsewhere(name)
+	severed.sever()
+	time.Sleep(renewals) // The renewal that is under way is answered.
+	c.restartElsewhere(name)
 	target := cairnbay.AgentTarget{Worker: name}
 	// The other owner claimed its shard before this one.
 	state, err := c.fleet.Hold(context.Background(), target, cairnbay.AgentHold{Token: 1})
@@ -280,6 +284,7 @@
 		Task: cairnbay.WorkflowTask{Job: "foreign"}, Attempt: 1, Token: 1, LeaseEnd: state.Clock + maxWorkerLease,
 	})
 	Expect(err).NotTo(HaveOccurred())
+	severed.reconnect()
 }
 
 // Guards against work that is lost: the owner of a worker's former run stopped what the owner
@@ -297,7 +302,6 @@
 	c := newRestartCluster()
 	calls := &meteredAgent{Agent: c.agent}
 	c.agent = calls
-	c.replaceOwner()
 	c.runElsewhere("w0", restartPause)
 	time.Sleep(2 * time.Second)
 	state, err := c.fleet.Hold(context.Background(), cairnbay.AgentTarget{Worker: "w0"}, cairnbay.AgentHold{Token: math.MaxInt64})
@@ -325,7 +329,6 @@
 	c := newRestartCluster()
 	calls := &meteredAgent{Agent: c.agent}
 	c.agent = calls
-	c.replaceOwner()
 	c.runElsewhere("w0", time.Minute)
 	time.Sleep(dropTime)
 	before := calls.holds.Load()
--- a/internal/process/drive/restart_test.go
+++ b/internal/process/drive/restart_test.go
@@ -181,6 +181,15 @@
 	c.listedElsewhere[name] = true
 }
 
+// restartElsewhere restarts a worker in another class, so that no list shows its next run in
+// this one.
+func (c *restartCluster) restartElsewhere(name string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.listedElsewhere[name] = true
+	c.fleet.Restart(name, 0, restartSize)
+}
+
 // drain lists a worker as draining or no longer so, and waits until the owner knows.
 func (c *restartCluster) drain(name string, draining bool) {
 	c.mu.Lock()
