--- a/internal/process/drive/cut_test.go
+++ b/internal/process/drive/cut_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -19,6 +20,9 @@
 type cutAgent struct {
 	*agent.Fleet
 
+	// unleased counts the renewals that arrive without a lease.
+	unleased atomic.Int64
+
 	mu  sync.Mutex
 	cut []string
 }
@@ -39,6 +43,9 @@
 	if !a.reaches(target) {
 		return cairnbay.AgentState{}, cairnbay.ErrUnknown
 	}
+	if order.LeaseEnd == 0 {
+		a.unleased.Add(1)
+	}
 	return a.Fleet.Hold(ctx, target, order)
 }
 
@@ -193,3 +200,18 @@
 	DeferCleanup(second.Close)
 	c.expectOneOwner(second)
 })
+
+// Guards against pauses of a healthy owner: between its last quorum and the next read of the
+// store, which answers, it extended no lease and started nothing.
+var _ = It("an owner that loses a quorum of its workers extends the leases of the others without a pause", func() {
+	c := newCluster(5)
+	workers := &cutAgent{Fleet: c.fleet}
+	c.agent = workers
+	owner := c.startOwner()
+	DeferCleanup(owner.Close)
+	Eventually(func() int { return owner.Counts().Usable }, "5s", "10ms").Should(Equal(5))
+	time.Sleep(lease)
+	before := workers.unleased.Load()
+	workers.setCut(c.workers[:3]...)
+	Consistently(workers.unleased.Load, "4s", "20ms").Should(Equal(before))
+})
